--- a/src/bin/ravenvalve-benchlink/frames.rs
+++ b/src/bin/valehatch-drill/frames.rs
@@ -3,21 +3,15 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use ravenvalve::{
+use valehatch::{
     Action, AttemptEnd, ClassId, Entry, Event, GroupId, KindId, NodeId, NodeState, Outcome, Report, Request,
     RequestId, Role, SessionKey, Span, TenantId, Time, ZoneId,
 };
 
-use crate::settings::{Field, WireFacts};
+use valehatch::config::settings::{WireFacts, micros};
 
 pub const HEADER: usize = 16;
 
-/// Milliseconds of the wire to microseconds.
-#[allow(clippy::cast_possible_truncation)]
-pub fn micros(ms: f64) -> i64 {
-    (ms * 1000.0).round() as i64
-}
-
 struct Cursor<'a> {
     left: &'a [u8],
 }
@@ -236,18 +230,10 @@
     if c.left.is_empty() { Ok(incoming) } else { Err(format!("{} bytes too many", c.left.len())) }
 }
 
+/// A load report of the wire, where positions are seconds after the settings' zero.
 #[allow(clippy::cast_possible_truncation)]
 fn report(wire: &WireFacts, metrics: &[f64]) -> Option<Report> {
-    let mut out = Report::default();
-    for (field, value) in wire.fields.iter().zip(metrics) {
-        match field {
-            Field::Position => out.position = Some(wire.zero + Span((value * 1e6).floor() as i64)),
-            Field::Primary => out.primary = Some(*value > 0.0),
-            Field::Busy => out.busy = Some(*value),
-            Field::Other => {}
-        }
-    }
-    (!metrics.is_empty()).then_some(out)
+    wire.report(metrics, |seconds| wire.zero + Span((seconds * 1e6).floor() as i64))
 }
 
 /// The module's event for what came in; `None` for what it has no use for.
--- a/src/bin/ravenvalve-benchlink/main.rs
+++ b/src/bin/valehatch-drill/main.rs
@@ -2,7 +2,6 @@
 //! Puts the decision module on the simulator's wire. It translates and hosts instances; it decides nothing.
 
 mod frames;
-mod settings;
 
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -11,7 +10,8 @@
 use std::rc::Rc;
 
 use frames::{Incoming, Reply};
-use ravenvalve::{Action, Entry, Event, Router, Time};
+use valehatch::config::settings;
+use valehatch::{Action, Entry, Event, Router, Time};
 
 struct Instance {
     router: Router,
@@ -158,7 +158,7 @@
     match serve() {
         Ok(()) => ExitCode::SUCCESS,
         Err(text) => {
-            eprintln!("ravenvalve-benchlink: {text}");
+            eprintln!("valehatch-drill: {text}");
             ExitCode::from(2)
         }
     }
--- a/src/bin/ravenvalve-benchlink/settings.rs
+++ b/src/config/settings.rs
@@ -3,31 +3,62 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
-use ravenvalve::{
-    Checks, Class, DedupScope, Effect, Limits, ListMode, ListedRole, Need, Rules, Sessions, Settings, Span,
-    Tenant, Time, ZoneId,
+use crate::interface::{
+    Checks, Class, DedupScope, Effect, Limits, ListMode, ListedRole, Need, Report, Rules, Sessions, Settings,
+    Span, Tenant, Time, ZoneId,
 };
 
-use crate::frames::micros;
+/// Milliseconds, as the settings and the simulator's wire give them, to microseconds.
+#[must_use]
+#[allow(clippy::cast_possible_truncation)]
+pub fn micros(ms: f64) -> i64 {
+    (ms * 1000.0).round() as i64
+}
 
 /// A place in a load report.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub enum Field {
+    /// The log position.
     Position,
+    /// Whether the node was the primary.
     Primary,
+    /// Share of its cores in use.
     Busy,
+    /// Nothing that the module asks for.
     Other,
 }
 
-/// What translating needs to know of an instance.
+/// What translating needs to know beside the module's own settings.
+#[derive(Clone, Debug)]
 pub struct WireFacts {
+    /// The values of a load report, in their order.
     pub fields: Vec<Field>,
+    /// Where the count of positions starts.
     pub zero: Time,
+    /// Session reads bring the age of their last write.
     pub brought: bool,
+    /// Number of classes.
     pub classes: usize,
+    /// Number of tenants.
     pub tenants: usize,
 }
 
+impl WireFacts {
+    /// The report that a node's values make, where `place` turns a position in seconds into a time.
+    pub fn report(&self, values: &[f64], place: impl Fn(f64) -> Time) -> Option<Report> {
+        let mut out = Report::default();
+        for (field, value) in self.fields.iter().zip(values) {
+            match field {
+                Field::Position => out.position = Some(place(*value)),
+                Field::Primary => out.primary = Some(*value > 0.0),
+                Field::Busy => out.busy = Some(*value),
+                Field::Other => {}
+            }
+        }
+        (!values.is_empty()).then_some(out)
+    }
+}
+
 struct Text<'a>(BTreeMap<&'a str, &'a str>);
 
 impl<'a> Text<'a> {
@@ -102,7 +133,10 @@
     })
 }
 
-/// Reads the settings of an instance.
+/// Reads the settings of an instance. Keys that nothing here asks for are skipped.
+///
+/// # Errors
+/// What is missing or wrong, by its key.
 pub fn parse(source: &str) -> Result<(Settings, WireFacts), String> {
     let mut text = Text(BTreeMap::new());
     for line in source.lines().filter(|l| !l.trim().is_empty()) {
--- /dev/null
+++ b/src/core/mod.rs
@@ -0,0 +1,465 @@
+//! The reducer: requests, attempts and outcomes, and no wire. `State::reduce` alone changes state; what is to
+//! be read, written, opened or closed leaves it as effects.
+
+mod figures;
+mod turn;
+mod words;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use valehatch::{
+    Action, AttemptEnd, Effect as Repeat, Entry, Event as Told, Need, NodeId, NodeState, Outcome, Request,
+    RequestId, Router, SettingsError, Span, Time,
+};
+
+pub use turn::{Clock, run};
+pub use words::*;
+
+/// After a planned stop was asked for, connections are still taken for so long.
+const STILL_TAKEN: Span = Span::from_millis(400);
+/// A final answer leaves this long before the client stops waiting.
+const HEADSTART: Span = Span::from_millis(5);
+/// How often idle connections are looked over.
+const SWEEP: Span = Span::from_millis(500);
+/// The part of the time a server lets a connection stand idle after which it is no longer used, in tenths.
+const IDLE_TENTHS: i64 = 6;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Router(u64),
+    Attempt(ConnId),
+    Overdue(RequestId),
+    Sweep,
+    Stop,
+}
+
+struct Held {
+    client: ClientId,
+    ticket: u64,
+    class: usize,
+    tenant: Option<usize>,
+    deadline: Time,
+    payload: Arc<Payload>,
+    attempts: u32,
+    last: Option<Outcome>,
+}
+
+#[derive(Clone, Copy)]
+enum Use {
+    Idle(Time),
+    Attempt(RequestId, u32, Time),
+    Probe(Time),
+}
+
+struct Conn {
+    node: NodeId,
+    used: Use,
+    /// When what it carries is over.
+    until: Time,
+}
+
+/// All that a gateway knows.
+pub struct State {
+    router: Router,
+    facts: Facts,
+    requests: BTreeMap<RequestId, Held>,
+    attempts: BTreeMap<(RequestId, u32), ConnId>,
+    conns: BTreeMap<ConnId, Conn>,
+    members: BTreeMap<NodeId, Arc<str>>,
+    clients: BTreeMap<ClientId, BTreeSet<RequestId>>,
+    due: BTreeSet<(Time, Due)>,
+    /// What the router is told on the next turn: a turn steps it once.
+    pending: Vec<Told>,
+    next_request: u64,
+    next_conn: u64,
+    stopped: bool,
+    figures: Arc<Figures>,
+}
+
+impl State {
+    /// A gateway that knows no members yet.
+    pub fn new(facts: Facts, seed: u64, figures: Arc<Figures>) -> Result<Self, SettingsError> {
+        Ok(Self {
+            router: Router::new(facts.settings.clone(), seed)?,
+            facts,
+            requests: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            members: BTreeMap::new(),
+            clients: BTreeMap::new(),
+            due: BTreeSet::from([(Time(0), Due::Sweep)]),
+            pending: vec![],
+            next_request: 0,
+            next_conn: 0,
+            stopped: false,
+            figures,
+        })
+    }
+
+    /// When the next turn is due, whatever comes in.
+    pub fn next_due(&self) -> Option<Time> {
+        if self.pending.is_empty() { self.due.first().map(|(at, _)| *at) } else { Some(Time(0)) }
+    }
+
+    /// One turn: takes what happened up to `now`, steps the router once, asks for effects.
+    pub fn reduce(&mut self, now: Time, events: Vec<Event>, effects: &mut Vec<Effect>) {
+        let mut told = std::mem::take(&mut self.pending);
+        // An attempt may have ended its request since its end was noted.
+        for event in &mut told {
+            if let Told::Ended(end) = event {
+                end.closed |= !self.requests.contains_key(&end.request);
+            }
+        }
+        events.into_iter().for_each(|event| self.on_event(now, event, &mut told, effects));
+        while let Some((_, due)) = self.due.first().filter(|(at, _)| *at <= now).copied() {
+            self.due.pop_first();
+            self.on_due(now, due, &mut told, effects);
+        }
+        let mut actions = vec![];
+        self.router.step(now, &told, &mut actions);
+        actions.into_iter().for_each(|action| self.carry_out(now, action, effects));
+        if self.stopped {
+            for (client, open) in &self.clients {
+                if open.is_empty() {
+                    effects.push(Effect::CloseClient(*client));
+                }
+            }
+            if self.clients.is_empty() {
+                effects.push(Effect::Exit);
+            }
+        }
+        self.figures.note_open(self.requests.len(), self.conns.len(), self.clients.len());
+    }
+
+    fn on_event(&mut self, now: Time, event: Event, told: &mut Vec<Told>, effects: &mut Vec<Effect>) {
+        match event {
+            Event::List { complete, members } => told.push(self.on_list(complete, members, effects)),
+            Event::Connected(client) => {
+                self.clients.entry(client).or_default();
+            }
+            Event::Asked { client, ticket, ask } => {
+                told.extend(self.on_asked(now, client, ticket, ask, effects));
+            }
+            Event::Disconnected(client) => {
+                for id in self.clients.remove(&client).unwrap_or_default() {
+                    if let Some(held) = self.requests.remove(&id) {
+                        self.figures.count_outcome(held.class, held.tenant, Final::Aborted);
+                    }
+                    told.push(Told::Aborted(id));
+                }
+            }
+            Event::Ended { conn, reply, reusable } => {
+                told.extend(self.on_reply(now, conn, reply, reusable, effects));
+            }
+            Event::Terminate => {
+                self.due.insert((now + STILL_TAKEN, Due::Stop));
+            }
+        }
+    }
+
+    fn on_list(&mut self, complete: bool, members: Vec<Member>, effects: &mut Vec<Effect>) -> Told {
+        let mut entries: Vec<Entry> = vec![];
+        for Member { entry, address } in members {
+            self.figures.note_member(&entry);
+            // A draining member gets nothing new: what stands open to it unused is given back at once.
+            if entry.state != NodeState::Ready {
+                self.close_idle(entry.node, effects);
+            }
+            if entry.state == NodeState::Gone {
+                self.members.remove(&entry.node);
+            } else {
+                self.members.insert(entry.node, address);
+            }
+            entries.push(entry);
+        }
+        if complete {
+            let named: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
+            for node in self.members.keys().copied().filter(|n| !named.contains(n)).collect::<Vec<_>>() {
+                self.close_idle(node, effects);
+                self.members.remove(&node);
+                self.figures.forget_member(node);
+            }
+        }
+        Told::List { complete, entries }
+    }
+
+    fn on_asked(
+        &mut self,
+        now: Time,
+        client: ClientId,
+        ticket: u64,
+        ask: Ask,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Told> {
+        let open = self.clients.entry(client).or_default();
+        self.figures.count_request(ask.class, ask.tenant, now);
+        if self.requests.len() >= self.facts.settings.limits.max_open {
+            let answer = Answer::Refused { after: self.facts.come_back(ask.class) };
+            self.figures.count_outcome(ask.class, ask.tenant, Final::Refused);
+            effects.push(Effect::Answer { client, ticket, answer });
+            return None;
+        }
+        self.next_request += 1;
+        let id = RequestId(self.next_request);
+        open.insert(id);
+        let time_left = Span((ask.patience - HEADSTART).0.max(1));
+        let deadline = now + time_left;
+        self.due.insert((deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
+        self.requests.insert(
+            id,
+            Held {
+                client,
+                ticket,
+                class: ask.class,
+                tenant: ask.tenant,
+                deadline,
+                payload: ask.payload,
+                attempts: 0,
+                last: None,
+            },
+        );
+        Some(Told::Request(Request {
+            id,
+            session: ask.session,
+            time_left,
+            group: ask.group,
+            class: valehatch::ClassId(ask.class),
+            tenant: ask.tenant.map(valehatch::TenantId),
+            work: None,
+            repeat: ask.repeat,
+            wrote_ago: ask.wrote_at.map(|at| Span((now - at).0.max(0))),
+        }))
+    }
+
+    /// What a connection brought back for what it carried.
+    fn on_reply(
+        &mut self,
+        now: Time,
+        conn: ConnId,
+        reply: Reply,
+        reusable: bool,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Told> {
+        let slot = self.conns.get_mut(&conn)?;
+        let (node, used) = (slot.node, slot.used);
+        slot.used = Use::Idle(now);
+        // A deadline left by what it carried must not strike what it carries next.
+        self.due.remove(&(slot.until, Due::Attempt(conn)));
+        let kept = reusable && self.members.contains_key(&node);
+        if !kept {
+            self.close(conn, effects);
+        }
+        match used {
+            Use::Idle(_) => None,
+            Use::Probe(sent) => {
+                Some(Told::Probed { node, outcome: reply.outcome, latency: now - sent, report: reply.report })
+            }
+            Use::Attempt(request, attempt, sent) => {
+                self.attempts.remove(&(request, attempt));
+                self.figures.count_attempt(reply.outcome);
+                let closed = match self.requests.get_mut(&request) {
+                    None => true,
+                    Some(held) => {
+                        held.last = Some(reply.outcome);
+                        if let (Outcome::Ok, Some(body)) = (reply.outcome, reply.body) {
+                            self.answer(request, Answer::Served(body), effects);
+                            true
+                        } else {
+                            false
+                        }
+                    }
+                };
+                Some(Told::Ended(AttemptEnd {
+                    request,
+                    attempt,
+                    node,
+                    outcome: reply.outcome,
+                    closed,
+                    latency: now - sent,
+                    role: reply.role,
+                    position: reply.position,
+                    report: reply.report,
+                }))
+            }
+        }
+    }
+
+    fn on_due(&mut self, now: Time, due: Due, told: &mut Vec<Told>, effects: &mut Vec<Effect>) {
+        match due {
+            Due::Router(token) => told.push(Told::Timer(token)),
+            // An attempt or a probe that is out for too long: the connection goes with it, so that what comes
+            // late can never reach another request.
+            Due::Attempt(conn) => {
+                told.extend(self.on_reply(now, conn, Reply::bare(Outcome::Timeout), false, effects));
+            }
+            Due::Overdue(id) => {
+                if self.requests.contains_key(&id) {
+                    self.answer(id, Answer::Failed(Failure::Timeout), effects);
+                    told.push(Told::Aborted(id));
+                }
+            }
+            Due::Sweep => {
+                let oldest = now - Span(self.facts.settings.limits.conn_idle.0 / 10 * IDLE_TENTHS);
+                let old =
+                    |(id, c): (&ConnId, &Conn)| matches!(c.used, Use::Idle(at) if at < oldest).then_some(*id);
+                for conn in self.conns.iter().filter_map(old).collect::<Vec<_>>() {
+                    self.close(conn, effects);
+                }
+                self.due.insert((now + SWEEP, Due::Sweep));
+            }
+            Due::Stop => {
+                self.stopped = true;
+                effects.push(Effect::StopListening);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action, effects: &mut Vec<Effect>) {
+        match action {
+            Action::Send { request, node, timeout } => self.send(now, request, node, timeout, effects),
+            Action::Cancel { request, attempt } => {
+                let Some(conn) = self.attempts.get(&(request, attempt)).copied() else { return };
+                let end = self.on_reply(now, conn, Reply::bare(Outcome::Cancelled), false, effects);
+                self.pending.extend(end);
+            }
+            Action::Refuse { request, retry_after } => {
+                if let Some(held) = self.requests.get(&request) {
+                    let after = retry_after.unwrap_or_else(|| self.facts.come_back(held.class));
+                    self.answer(request, Answer::Refused { after }, effects);
+                }
+            }
+            Action::Fail { request } => {
+                if let Some(held) = self.requests.get(&request) {
+                    let failure = match held.last {
+                        Some(Outcome::Timeout | Outcome::Cancelled) => Failure::Timeout,
+                        _ => Failure::Broken,
+                    };
+                    self.answer(request, Answer::Failed(failure), effects);
+                }
+            }
+            Action::Probe { node } => {
+                let took = self.take_conn(node, Use::Probe(now), effects);
+                let Some(conn) = took else {
+                    let latency = Span(0);
+                    let outcome = Outcome::ConnectFailed;
+                    return self.pending.push(Told::Probed { node, outcome, latency, report: None });
+                };
+                self.wait_until(conn, now + self.facts.probe_timeout);
+                effects.push(Effect::Submit { conn, job: Job::Probe });
+            }
+            Action::CloseIdle { node } => self.close_idle(node, effects),
+            Action::Subscribe => {} // The list is watched all the time.
+            Action::SetTimer { at, token } => {
+                self.due.insert((at, Due::Router(token)));
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        node: NodeId,
+        timeout: Option<Span>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let limit = self.facts.settings.limits.max_attempts;
+        let Some(held) = self.requests.get_mut(&request) else { return };
+        let attempt = held.attempts;
+        held.attempts += 1;
+        let until = timeout.map_or(held.deadline, |t| held.deadline.min(now + t));
+        let payload = Arc::clone(&held.payload);
+        let moot = attempt >= limit || until <= now;
+        let used = Use::Attempt(request, attempt, now);
+        let took = if moot { None } else { self.take_conn(node, used, effects) };
+        let Some(conn) = took else {
+            let outcome = if moot { Outcome::Moot } else { Outcome::ConnectFailed };
+            return self.pending.push(Told::Ended(AttemptEnd {
+                request,
+                attempt,
+                node,
+                outcome,
+                closed: false,
+                latency: Span(0),
+                role: None,
+                position: None,
+                report: None,
+            }));
+        };
+        self.attempts.insert((request, attempt), conn);
+        self.wait_until(conn, until);
+        effects.push(Effect::Submit { conn, job: Job::Run { payload, until } });
+    }
+
+    /// The connection to a node that was used last, or a new one while the budget of descriptors lasts.
+    fn take_conn(&mut self, node: NodeId, used: Use, effects: &mut Vec<Effect>) -> Option<ConnId> {
+        let address = Arc::clone(self.members.get(&node)?);
+        let idle = |c: &Conn| if let Use::Idle(at) = c.used { Some(at) } else { None };
+        let free =
+            self.conns.iter().filter(|(_, c)| c.node == node).filter_map(|(id, c)| Some((idle(c)?, *id)));
+        let id = free.max().map(|(_, id)| id);
+        let id = match id {
+            Some(id) => id,
+            None => {
+                if self.conns.len() >= self.facts.server_conns {
+                    let oldest = self.conns.iter().filter_map(|(id, c)| Some((idle(c)?, *id))).min();
+                    let Some((_, spare)) = oldest else {
+                        crate::log!("all {} connections to servers are in use", self.conns.len());
+                        return None;
+                    };
+                    self.close(spare, effects);
+                }
+                self.next_conn += 1;
+                let id = ConnId(self.next_conn);
+                effects.push(Effect::Connect { conn: id, address });
+                id
+            }
+        };
+        self.conns.insert(id, Conn { node, used, until: Time(i64::MAX) });
+        Some(id)
+    }
+
+    fn wait_until(&mut self, conn: ConnId, until: Time) {
+        self.conns.get_mut(&conn).into_iter().for_each(|c| c.until = until);
+        self.due.insert((until, Due::Attempt(conn)));
+    }
+
+    fn close(&mut self, conn: ConnId, effects: &mut Vec<Effect>) {
+        if self.conns.remove(&conn).is_some() {
+            effects.push(Effect::Close(conn));
+        }
+    }
+
+    fn close_idle(&mut self, node: NodeId, effects: &mut Vec<Effect>) {
+        let idle = |c: &Conn| c.node == node && matches!(c.used, Use::Idle(_));
+        let all = self.conns.iter().filter(|(_, c)| idle(c)).map(|(id, _)| *id).collect::<Vec<_>>();
+        all.into_iter().for_each(|conn| self.close(conn, effects));
+    }
+
+    /// The one final answer of a request.
+    fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
+        let Some(held) = self.requests.remove(&id) else { return };
+        self.due.remove(&(held.deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
+        if let Some(open) = self.clients.get_mut(&held.client) {
+            open.remove(&id);
+        }
+        let how = match &answer {
+            Answer::Served(_) => Final::Served,
+            Answer::Refused { .. } => Final::Refused,
+            Answer::Failed(_) => Final::Failed,
+        };
+        self.figures.count_outcome(held.class, held.tenant, how);
+        effects.push(Effect::Answer { client: held.client, ticket: held.ticket, answer });
+    }
+}
+
+impl Facts {
+    /// When a refused client should come back: nothing here is as bad for longer than an election takes.
+    fn come_back(&self, class: usize) -> Span {
+        let longest = self.settings.limits.max_retry_after;
+        let Some(class) = self.settings.classes.get(class) else { return longest };
+        let write = class.need == Need::Write && class.effect != Repeat::Safe;
+        if write { Span(longest.0 / 4) } else { longest.min(class.aim) }
+    }
+}
--- /dev/null
+++ b/src/core/turn.rs
@@ -0,0 +1,64 @@
+//! The loop: drain what came in, read the clock once, take a turn, carry out what it asks for.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use valehatch::Time;
+
+use super::{Effect, Event, State};
+
+/// Events that one turn takes at the most.
+const BATCH: usize = 512;
+/// The monotonic clock starts here, so that times some way back are still above zero.
+const START: i64 = 100_000_000_000;
+
+/// The monotonic clock in microseconds, and where Unix time stood when it began.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    began: Instant,
+    unix: i64,
+}
+
+impl Clock {
+    /// Reads the system's time, the only time that this is done.
+    #[allow(clippy::cast_possible_truncation)]
+    pub fn new() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
+        Self { began: Instant::now(), unix }
+    }
+
+    /// Now.
+    #[allow(clippy::cast_possible_truncation)]
+    pub fn now(&self) -> Time {
+        Time(START + self.began.elapsed().as_micros() as i64)
+    }
+
+    /// A Unix time in microseconds on this clock.
+    pub const fn place(&self, unix: i64) -> Time {
+        Time(START.saturating_add(unix.saturating_sub(self.unix)))
+    }
+}
+
+/// Takes turns until `hands` says that the program is to end.
+#[allow(clippy::cast_sign_loss)]
+pub fn run(state: &mut State, clock: Clock, events: &Receiver<Event>, mut hands: impl FnMut(Effect) -> bool) {
+    let mut effects = vec![];
+    let mut now = clock.now();
+    loop {
+        let wait = state.next_due().map_or(i64::MAX, |at| (at - now).0).clamp(0, 1_000_000) as u64;
+        let mut batch = vec![];
+        match events.recv_timeout(Duration::from_micros(wait)) {
+            Ok(event) => batch.push(event),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        batch.extend(events.try_iter().take(BATCH));
+        now = clock.now();
+        state.reduce(now, batch, &mut effects);
+        for effect in effects.drain(..) {
+            if !hands(effect) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/words.rs
@@ -0,0 +1,141 @@
+//! What the core is told and what it asks for.
+
+use std::sync::Arc;
+
+use valehatch::{Entry, GroupId, Outcome, Report, Role, SessionKey, Settings, Span, Time};
+
+pub use super::figures::{Figures, Final};
+
+macro_rules! id {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u64);
+    };
+}
+
+id!(/** A connection from a client. */ ClientId);
+id!(/** A connection to a server. */ ConnId);
+
+/// What is passed to a server; only the fronts know its form.
+#[derive(Debug)]
+pub struct Payload {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// A request as a front understood it.
+#[derive(Debug)]
+pub struct Ask {
+    pub class: usize,
+    pub tenant: Option<usize>,
+    pub group: GroupId,
+    pub session: Option<SessionKey>,
+    /// How long the client will wait.
+    pub patience: Span,
+    pub repeat: bool,
+    /// When the session's last write was committed, if it brought that.
+    pub wrote_at: Option<Time>,
+    pub payload: Arc<Payload>,
+}
+
+/// How a request failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No answer came in time; it may have run.
+    Timeout,
+    /// An error or a break; it may have run.
+    Broken,
+}
+
+/// The final answer of a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// As a server gave it.
+    Served(Vec<u8>),
+    /// Trying again is harmless, after this time.
+    Refused {
+        after: Span,
+    },
+    Failed(Failure),
+}
+
+/// What came back for a job.
+#[derive(Debug)]
+pub struct Reply {
+    pub outcome: Outcome,
+    pub role: Option<Role>,
+    pub position: Option<Time>,
+    pub report: Option<Report>,
+    /// The whole answer, where there is one.
+    pub body: Option<Vec<u8>>,
+}
+
+impl Reply {
+    /// An outcome that nothing came along with.
+    pub const fn bare(outcome: Outcome) -> Self {
+        Self { outcome, role: None, position: None, report: None, body: None }
+    }
+}
+
+/// A line of the list, with where the server listens.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub entry: Entry,
+    pub address: Arc<str>,
+}
+
+/// What happened.
+#[derive(Debug)]
+pub enum Event {
+    List {
+        complete: bool,
+        members: Vec<Member>,
+    },
+    Connected(ClientId),
+    /// A request; the ticket comes back with its answer.
+    Asked {
+        client: ClientId,
+        ticket: u64,
+        ask: Ask,
+    },
+    Disconnected(ClientId),
+    /// What a connection carried has ended.
+    Ended {
+        conn: ConnId,
+        reply: Reply,
+        reusable: bool,
+    },
+    /// A planned stop.
+    Terminate,
+}
+
+/// What a connection is to carry.
+#[derive(Clone, Debug)]
+pub enum Job {
+    /// A request, and when the gateway stops waiting for its answer.
+    Run { payload: Arc<Payload>, until: Time },
+    /// The server is asked how it is.
+    Probe,
+}
+
+/// What is to be done.
+#[derive(Debug)]
+pub enum Effect {
+    Connect { conn: ConnId, address: Arc<str> },
+    Submit { conn: ConnId, job: Job },
+    Close(ConnId),
+    Answer { client: ClientId, ticket: u64, answer: Answer },
+    CloseClient(ClientId),
+    StopListening,
+    Exit,
+}
+
+/// What the core needs to know of the deployment.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    pub settings: Settings,
+    /// Connections to servers at the most.
+    pub server_conns: usize,
+    pub probe_timeout: Span,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`Event`]s with the time of its clock and carries out the [`Action`]s that come back, in their order.
 //!
 //! ```
-//! use ravenvalve::*;
+//! use valehatch::*;
 //!
 //! let ms = Span::from_millis;
 //! let settings = Settings {
@@ -76,6 +76,7 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 
+pub mod config;
 mod decide;
 mod interface;
 
--- /dev/null
+++ b/src/net/list.rs
@@ -0,0 +1,224 @@
+//! Discovery: the list of servers, watched over HTTP.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+use crossbeam_channel::Sender;
+use serde::Deserialize;
+use serde_json::Value;
+use valehatch::config::Site;
+use valehatch::{Entry, GroupId, KindId, NodeId, NodeState, ZoneId};
+
+use super::servers::place_ms;
+use crate::core::{Clock, Event, Member};
+
+/// How long one call of the watch may wait for news.
+const HOLD: Duration = Duration::from_millis(2_000);
+/// How much longer its answer may take before the agent counts as silent.
+const SILENCE: Duration = Duration::from_millis(700);
+/// Between tries; the watch goes on only when the next call comes within 200 ms.
+const PAUSE: Duration = Duration::from_millis(50);
+/// The longest answer that is read.
+const MOST: usize = 8 * 1024 * 1024;
+
+#[derive(Deserialize)]
+struct List {
+    rev: u64,
+    all: bool,
+    targets: Vec<Target>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u16,
+    state: String,
+    #[serde(default)]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: f64,
+    #[serde(default)]
+    mode: String,
+}
+
+/// Watches the list.
+pub struct Watch {
+    pub address: SocketAddr,
+    pub site: Site,
+    pub clock: Clock,
+    pub events: Sender<Event>,
+    ids: HashMap<String, NodeId>,
+}
+
+impl Watch {
+    pub fn new(address: SocketAddr, site: Site, clock: Clock, events: Sender<Event>) -> Self {
+        Self { address, site, clock, events, ids: HashMap::new() }
+    }
+
+    /// Takes the list as it was last held, then watches from there on.
+    pub fn start(mut self, known: &Value) -> io::Result<()> {
+        let mut rev = None;
+        if !known.is_null() {
+            match serde_json::from_value::<List>(known.clone()) {
+                Ok(list) => rev = Some(self.take(list)),
+                Err(e) => crate::log!("config: known is not a list of servers: {e}"),
+            }
+        }
+        super::spawn("list", move || self.run(rev))
+    }
+
+    fn run(mut self, mut rev: Option<u64>) {
+        let mut line: Option<BufReader<TcpStream>> = None;
+        let mut whole = true;
+        loop {
+            match self.call(&mut line, rev.filter(|_| !whole)) {
+                Ok(list) => {
+                    (rev, whole) = (Some(self.take(list)), false);
+                }
+                Err(e) => {
+                    // Silence or nonsense: the list that is held goes on to hold.
+                    crate::log!("discovery: {e}");
+                    line = None;
+                    sleep(PAUSE);
+                }
+            }
+        }
+    }
+
+    fn call(&self, line: &mut Option<BufReader<TcpStream>>, from: Option<u64>) -> io::Result<List> {
+        let stream = match line {
+            Some(stream) => stream,
+            None => {
+                let stream = TcpStream::connect_timeout(&self.address, SILENCE)?;
+                stream.set_nodelay(true)?;
+                line.insert(BufReader::new(stream))
+            }
+        };
+        let (path, wait) = match from {
+            None => ("/v1/servers".to_owned(), SILENCE),
+            Some(rev) => (format!("/v1/servers?from={rev}&hold_ms={}", HOLD.as_millis()), HOLD + SILENCE),
+        };
+        stream.get_ref().set_read_timeout(Some(wait))?;
+        let request =
+            format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
+        stream.get_mut().write_all(request.as_bytes())?;
+        let (body, keep) = read_response(stream)?;
+        if !keep {
+            *line = None;
+        }
+        serde_json::from_slice(&body).map_err(|e| io::Error::other(format!("no list: {e}")))
+    }
+
+    fn take(&mut self, list: List) -> u64 {
+        let members = list.targets.into_iter().filter_map(|t| self.member(t)).collect();
+        let _ = self.events.send(Event::List { complete: list.all, members });
+        list.rev
+    }
+
+    #[allow(clippy::cast_possible_truncation)]
+    fn member(&mut self, target: Target) -> Option<Member> {
+        let state = match target.state.as_str() {
+            "active" => NodeState::Ready,
+            "leaving" => NodeState::Draining,
+            "left" => NodeState::Gone,
+            other => {
+                crate::log!("discovery: {} has the unknown state {other:?}", target.uid);
+                return None;
+            }
+        };
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
+        Some(Member {
+            entry: Entry {
+                zone: ZoneId(place(&self.site.zones, &target.az)),
+                kind: KindId(place(&self.site.kinds, &target.model)),
+                node: self.id(target.uid),
+                group: GroupId(target.pod_group),
+                weight: target.capacity_hint,
+                started: (target.boot_ms > 0.0).then(|| place_ms(self.clock, target.boot_ms)),
+                primary: target.mode == "read-write",
+                state,
+            },
+            address: Arc::from(target.endpoint),
+        })
+    }
+
+    /// The same number for the same uid at every gateway, but where two fall together.
+    fn id(&mut self, uid: String) -> NodeId {
+        if let Some(id) = self.ids.get(&uid) {
+            return *id;
+        }
+        let hex =
+            uid.rsplit('-').next().filter(|h| h.len() == 8).and_then(|h| u32::from_str_radix(h, 16).ok());
+        let hash = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(16_777_619);
+        let mut id = NodeId(hex.unwrap_or_else(|| uid.bytes().fold(2_166_136_261, hash)));
+        while self.ids.values().any(|known| *known == id) {
+            id = NodeId(id.0.wrapping_add(1));
+        }
+        self.ids.insert(uid, id);
+        id
+    }
+}
+
+/// The body of a response, and whether the connection can be used again.
+fn read_response(from: &mut impl BufRead) -> io::Result<(Vec<u8>, bool)> {
+    let bad = |what: String| io::Error::other(what);
+    let mut head = vec![];
+    while !head.ends_with(b"\r\n\r\n") {
+        if from.by_ref().take(16 * 1024).read_until(b'\n', &mut head)? == 0 || head.len() > 16 * 1024 {
+            return Err(bad("the answer has no end of its head".into()));
+        }
+    }
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut response = httparse::Response::new(&mut headers);
+    response.parse(&head).map_err(|e| bad(format!("no HTTP: {e}")))?;
+    if response.code != Some(200) {
+        return Err(bad(format!("HTTP status {:?}", response.code)));
+    }
+    let header = |name: &str| {
+        let named = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
+        named.and_then(|h| std::str::from_utf8(h.value).ok()).map(|v| v.trim().to_ascii_lowercase())
+    };
+    let keep = header("connection").is_none_or(|v| v != "close");
+    let mut body = vec![];
+    if header("transfer-encoding").is_some_and(|v| v == "chunked") {
+        loop {
+            let mut line = String::new();
+            from.by_ref().take(64).read_line(&mut line)?;
+            let size = usize::from_str_radix(line.trim().split(';').next().unwrap_or_default(), 16);
+            let size = size.map_err(|_| bad(format!("no size of a chunk: {line:?}")))?;
+            if body.len() + size > MOST {
+                return Err(bad("the answer is too long".into()));
+            }
+            let at = body.len();
+            body.resize(at + size, 0);
+            from.read_exact(&mut body[at..])?;
+            from.read_exact(&mut [0; 2])?;
+            if size == 0 {
+                return Ok((body, keep));
+            }
+        }
+    }
+    let length = header("content-length").map(|v| v.parse::<usize>());
+    match length {
+        Some(Ok(length)) if length <= MOST => {
+            body.resize(length, 0);
+            from.read_exact(&mut body)?;
+            Ok((body, keep))
+        }
+        Some(other) => Err(bad(format!("a length of {other:?}"))),
+        None => {
+            from.take(MOST as u64).read_to_end(&mut body)?;
+            Ok((body, false))
+        }
+    }
+}
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod script;
 
-use ravenvalve::*;
 use script::*;
+use valehatch::*;
 
 const PRIMARY: Option<Role> = Some(Role::Primary);
 const REPLICA: Option<Role> = Some(Role::Replica);
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -5,8 +5,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use ravenvalve::*;
 use script::*;
+use valehatch::*;
 
 #[derive(Clone, Debug)]
 enum Move {
--- a/tests/script/mod.rs
+++ b/tests/script/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use ravenvalve::*;
+use valehatch::*;
 
 pub const WRITE: ClassId = ClassId(0);
 pub const KEYED: ClassId = ClassId(1);
