Answer what is out before a planned stop closes its connection; first tests and CQL front

Seen: the test of a planned stop lost the answer of the one busy client. At fault: the core asked for the answer and for the connection's end in one turn, and Clients::close shut the socket down before the writing thread had written (src/net/clients.rs). Now the end goes through the writer's queue, said once for each client (State::reduce). Ruled out: the attempt itself, which came back whole.

New tests start the real program between stand-ins.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! The one place where configuration is read, checked and given defaults. What is wrong is told by its key.
 
+pub mod cassandra;
 pub mod settings;
 
 use std::net::SocketAddr;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -52,6 +52,12 @@
     Probe(Time),
 }
 
+#[derive(Default)]
+struct Client {
+    open: BTreeSet<RequestId>,
+    closing: bool,
+}
+
 struct Conn {
     node: NodeId,
     used: Use,
@@ -67,7 +73,7 @@
     attempts: BTreeMap<(RequestId, u32), ConnId>,
     conns: BTreeMap<ConnId, Conn>,
     members: BTreeMap<NodeId, Arc<str>>,
-    clients: BTreeMap<ClientId, BTreeSet<RequestId>>,
+    clients: BTreeMap<ClientId, Client>,
     due: BTreeSet<(Time, Due)>,
     /// What the router is told on the next turn: a turn steps it once.
     pending: Vec<Told>,
@@ -120,10 +126,9 @@
         self.router.step(now, &told, &mut actions);
         actions.into_iter().for_each(|action| self.carry_out(now, action, effects));
         if self.stopped {
-            for (client, open) in &self.clients {
-                if open.is_empty() {
-                    effects.push(Effect::CloseClient(*client));
-                }
+            for (id, client) in self.clients.iter_mut().filter(|(_, c)| c.open.is_empty() && !c.closing) {
+                client.closing = true;
+                effects.push(Effect::CloseClient(*id));
             }
             if self.clients.is_empty() {
                 effects.push(Effect::Exit);
@@ -142,7 +147,7 @@
                 told.extend(self.on_asked(now, client, ticket, ask, effects));
             }
             Event::Disconnected(client) => {
-                for id in self.clients.remove(&client).unwrap_or_default() {
+                for id in self.clients.remove(&client).unwrap_or_default().open {
                     if let Some(held) = self.requests.remove(&id) {
                         self.figures.count_outcome(held.class, held.tenant, Final::Aborted);
                     }
@@ -192,7 +197,7 @@
         ask: Ask,
         effects: &mut Vec<Effect>,
     ) -> Option<Told> {
-        let open = self.clients.entry(client).or_default();
+        let open = &mut self.clients.entry(client).or_default().open;
         self.figures.count_request(ask.class, ask.tenant, now);
         if self.requests.len() >= self.facts.settings.limits.max_open {
             let answer = Answer::Refused { after: self.facts.come_back(ask.class) };
@@ -300,7 +305,7 @@
                 }
             }
             Due::Sweep => {
-                let oldest = now - Span(self.facts.settings.limits.conn_idle.0 / 10 * IDLE_TENTHS);
+                let oldest = now - self.facts.idle();
                 let old =
                     |(id, c): (&ConnId, &Conn)| matches!(c.used, Use::Idle(at) if at < oldest).then_some(*id);
                 for conn in self.conns.iter().filter_map(old).collect::<Vec<_>>() {
@@ -339,7 +344,7 @@
                 }
             }
             Action::Probe { node } => {
-                let took = self.take_conn(node, Use::Probe(now), effects);
+                let took = self.take_conn(now, node, Use::Probe(now), effects);
                 let Some(conn) = took else {
                     let latency = Span(0);
                     let outcome = Outcome::ConnectFailed;
@@ -372,7 +377,7 @@
         let payload = Arc::clone(&held.payload);
         let moot = attempt >= limit || until <= now;
         let used = Use::Attempt(request, attempt, now);
-        let took = if moot { None } else { self.take_conn(node, used, effects) };
+        let took = if moot { None } else { self.take_conn(now, node, used, effects) };
         let Some(conn) = took else {
             let outcome = if moot { Outcome::Moot } else { Outcome::ConnectFailed };
             return self.pending.push(Told::Ended(AttemptEnd {
@@ -393,12 +398,13 @@
     }
 
     /// The connection to a node that was used last, or a new one while the budget of descriptors lasts.
-    fn take_conn(&mut self, node: NodeId, used: Use, effects: &mut Vec<Effect>) -> Option<ConnId> {
+    fn take_conn(&mut self, now: Time, node: NodeId, used: Use, effects: &mut Vec<Effect>) -> Option<ConnId> {
         let address = Arc::clone(self.members.get(&node)?);
+        let oldest = now - self.facts.idle();
         let idle = |c: &Conn| if let Use::Idle(at) = c.used { Some(at) } else { None };
         let free =
             self.conns.iter().filter(|(_, c)| c.node == node).filter_map(|(id, c)| Some((idle(c)?, *id)));
-        let id = free.max().map(|(_, id)| id);
+        let id = free.filter(|(at, _)| *at >= oldest).max().map(|(_, id)| id);
         let id = match id {
             Some(id) => id,
             None => {
@@ -441,8 +447,8 @@
     fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
         let Some(held) = self.requests.remove(&id) else { return };
         self.due.remove(&(held.deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
-        if let Some(open) = self.clients.get_mut(&held.client) {
-            open.remove(&id);
+        if let Some(client) = self.clients.get_mut(&held.client) {
+            client.open.remove(&id);
         }
         let how = match &answer {
             Answer::Served(_) => Final::Served,
@@ -455,6 +461,11 @@
 }
 
 impl Facts {
+    /// How long a connection to a server may stand idle here: well below what the server allows.
+    fn idle(&self) -> Span {
+        Span(self.settings.limits.conn_idle.0 / 10 * IDLE_TENTHS)
+    }
+
     /// When a refused client should come back: nothing here is as bad for longer than an election takes.
     fn come_back(&self, class: usize) -> Span {
         let longest = self.settings.limits.max_retry_after;
--- a/src/core/words.rs
+++ b/src/core/words.rs
@@ -22,6 +22,8 @@
 pub struct Payload {
     /// The bytes.
     pub bytes: Vec<u8>,
+    /// Whether it writes.
+    pub write: bool,
 }
 
 /// A request as a front understood it.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,30 +5,41 @@
 mod log;
 mod net;
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam_channel::bounded;
+use crossbeam_channel::{Receiver, Sender, bounded};
 use valehatch::Span;
-use valehatch::config::Gateway;
+use valehatch::config::cassandra::Store;
+use valehatch::config::{Gateway, Site};
 
-use crate::core::{Clock, Effect, Facts, Figures, State};
-use crate::net::clients::Clients;
-use crate::net::servers::Servers;
+use crate::core::{Clock, Effect, Event, Facts, Figures, State};
+use crate::net::clients::{Clients, Serves};
+use crate::net::servers::{Servers, Speaks};
 
 /// Events that may wait for the core; who brings more waits.
 const QUEUE: usize = 8192;
 /// Descriptors kept for everything but connections of clients and servers.
 const SPARE: usize = 64;
 
-fn platform(path: &str) -> Result<(), String> {
-    let source = std::fs::read_to_string(path).map_err(|e| format!("config: {path}: {e}"))?;
-    let config = Gateway::parse(&source)?;
-    let clock = Clock::new();
-    let (events, inbox) = bounded(QUEUE);
-    let site = config.site;
-    let budget = config.sockets - SPARE.min(config.sockets / 2);
+/// What one front needs to serve.
+struct Parts {
+    site: Site,
+    sockets: usize,
+    seed: u64,
+    listen: SocketAddr,
+    clock: Clock,
+    front: Arc<dyn Serves>,
+    protocol: Arc<dyn Speaks>,
+    inbox: (Sender<Event>, Receiver<Event>),
+}
+
+/// Serves a front on a core of its own until it has stopped.
+fn serve(parts: Parts) -> Result<(), String> {
+    let Parts { site, sockets, seed, listen, clock, front, protocol, inbox: (events, inbox) } = parts;
+    let budget = sockets - SPARE.min(sockets / 2);
     let timeout = Duration::from_millis(site.connect_timeout_ms);
     let facts = Facts {
         settings: site.settings.clone(),
@@ -36,18 +47,12 @@
         probe_timeout: Span::from_millis(i64::try_from(site.connect_timeout_ms).unwrap_or(250)),
     };
     let figures = Arc::new(Figures::new(site.classes.len(), site.tenants.len()));
-    let mut state = State::new(facts, config.seed, figures).map_err(|e| e.to_string())?;
-
+    let mut state = State::new(facts, seed, figures).map_err(|e| e.to_string())?;
     net::signals::watch(events.clone()).map_err(|e| format!("signals: {e}"))?;
-    let watch = net::list::Watch::new(config.discovery, site.clone(), clock, events.clone());
-    watch.start(&config.known).map_err(|e| format!("list: {e}"))?;
-    let databases = net::pg_servers::Databases { clock };
-    let mut servers = Servers::new(Arc::new(databases), events.clone(), clock, timeout);
-    let front = net::pg_clients::Front { site, clock };
-    let clients = Clients::new(Arc::new(front), events, budget / 2);
-    let bound = clients.listen(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    log!("{} serves on {bound}", config.name);
-
+    let mut servers = Servers::new(protocol, events.clone(), clock, timeout);
+    let clients = Clients::new(front, events, budget / 2);
+    let bound = clients.listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+    log!("listens on {bound}");
     core::run(&mut state, clock, &inbox, |effect| {
         match effect {
             Effect::Connect { conn, address } => servers.connect(conn, &address),
@@ -63,10 +68,42 @@
     Ok(())
 }
 
+/// The platform's front, told by the platform's JSON.
+fn platform(path: &str) -> Result<(), String> {
+    let source = std::fs::read_to_string(path).map_err(|e| format!("config: {path}: {e}"))?;
+    let Gateway { name, listen, discovery, seed, sockets, known, site } = Gateway::parse(&source)?;
+    let (clock, inbox) = (Clock::new(), bounded(QUEUE));
+    let watch = net::list::Watch::new(discovery, site.clone(), clock, inbox.0.clone());
+    watch.start(&known).map_err(|e| format!("list: {e}"))?;
+    log!("{name}: serves the platform");
+    let front = Arc::new(net::pg_clients::Front { site: site.clone(), clock });
+    let protocol = Arc::new(net::pg_servers::Databases { clock });
+    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox })
+}
+
+/// The Cassandra front, told by a file of the operators'.
+fn cassandra(path: &str) -> Result<(), String> {
+    let store = Store::load(path.as_ref())?;
+    let (clock, inbox) = (Clock::new(), bounded(QUEUE));
+    net::cql::members::watch(path.into(), &store, inbox.0.clone()).map_err(|e| format!("members: {e}"))?;
+    let prepared = Arc::new(net::cql::Prepared::default());
+    let protocol = Arc::new(net::cql::servers::Nodes::new(Arc::clone(&prepared), clock));
+    let (listen, sockets, site) = (store.listen, store.sockets, store.site.clone());
+    let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32;
+    let front = Arc::new(net::cql::clients::Front { store, prepared });
+    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox })
+}
+
 fn main() -> ExitCode {
-    let outcome = match std::env::var("BALANCER_CONFIG") {
-        Ok(path) => platform(&path),
-        Err(_) => Err("BALANCER_CONFIG names no configuration".into()),
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let outcome = match (
+        args.iter().map(String::as_str).collect::<Vec<_>>().as_slice(),
+        std::env::var("BALANCER_CONFIG"),
+    ) {
+        (["--cassandra", path], _) => cassandra(path),
+        ([], Ok(path)) => platform(&path),
+        ([], Err(_)) => Err("BALANCER_CONFIG names no configuration".into()),
+        _ => Err("usage: valehatch [--cassandra FILE]; without FILE the platform is served".into()),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -34,6 +34,8 @@
     Bytes(u64, Vec<u8>),
     /// Something that is no answer; in an ordered protocol it leaves at once.
     Aside(Vec<u8>),
+    /// The connection ends, after all that was said before.
+    Close,
 }
 
 /// A connection as its reading thread sees it.
@@ -131,7 +133,8 @@
         stream.set_nodelay(true)?;
         stream.set_write_timeout(Some(STUCK))?;
         let stream = Arc::new(stream);
-        // A permit is taken for each thing to be written and given back after it, so this never overflows.
+        // A permit is taken for each thing to be written and given back after it, so this never overflows;
+        // the end of the connection is said once and needs none.
         let (out, todo) = bounded(PIPELINE + 2);
         let (permits, done) = bounded(PIPELINE);
         let full = self.held.fetch_add(1, Ordering::Relaxed) >= self.most;
@@ -172,9 +175,11 @@
         }
     }
 
-    /// Ends a connection.
+    /// Ends a connection, once the answers that were passed on before are written.
     pub fn close(&self, client: ClientId) {
-        if let Some(handle) = lock(&self.handles).get(&client) {
+        let handles = lock(&self.handles);
+        let Some(handle) = handles.get(&client) else { return };
+        if handle.out.try_send(Out::Close).is_err() {
             let _ = handle.stream.shutdown(Shutdown::Both);
         }
     }
@@ -200,6 +205,7 @@
             let mut ready = vec![];
             let mut count = 1;
             let (ticket, bytes) = match out {
+                Out::Close => break,
                 Out::Aside(bytes) => {
                     ready = bytes;
                     (None, vec![])
--- /dev/null
+++ b/src/net/cql/members.rs
@@ -0,0 +1,45 @@
+//! The store's members, from the front's file: a change of the file is taken as it comes.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, SystemTime};
+
+use crossbeam_channel::Sender;
+use valehatch::config::cassandra::Store;
+
+use crate::core::{Event, Member};
+
+/// How often the file is looked at: well within the grace that a drain leaves.
+const LOOK: Duration = Duration::from_millis(100);
+
+fn list(store: &Store) -> Event {
+    let member = |(entry, address): &(valehatch::Entry, std::net::SocketAddr)| Member {
+        entry: entry.clone(),
+        address: Arc::from(address.to_string()),
+    };
+    Event::List { complete: true, members: store.members.iter().map(member).collect() }
+}
+
+/// Tells the core of the members, now and whenever the file changes. Contracts and budgets stay as at the
+/// start; a file that is no good changes nothing.
+pub fn watch(path: PathBuf, store: &Store, events: Sender<Event>) -> std::io::Result<()> {
+    let _ = events.send(list(store));
+    let stamp = |path: &PathBuf| std::fs::metadata(path).and_then(|m| m.modified()).ok();
+    let mut seen: Option<SystemTime> = stamp(&path);
+    crate::net::spawn("members", move || {
+        loop {
+            sleep(LOOK);
+            let now = stamp(&path);
+            if now.is_none() || now == seen {
+                continue;
+            }
+            seen = now;
+            match Store::load(&path) {
+                Ok(store) if events.send(list(&store)).is_err() => return,
+                Ok(_) => crate::log!("the store's members were read again"),
+                Err(e) => crate::log!("the store's members stay as they were: {e}"),
+            }
+        }
+    })
+}
--- /dev/null
+++ b/src/net/cql/mod.rs
@@ -0,0 +1,42 @@
+//! The front of the Cassandra native protocol, version 4: the same core behind another wire.
+
+pub mod clients;
+pub mod codec;
+pub mod members;
+pub mod servers;
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex};
+
+use super::lock;
+
+/// Statements that may be remembered.
+const MOST: usize = 10_000;
+
+/// Prepared statements by the id that a node gave them: any node can be told of them again.
+#[derive(Default)]
+pub struct Prepared(Mutex<Known>);
+
+#[derive(Default)]
+struct Known {
+    statements: HashMap<Vec<u8>, Arc<str>>,
+    order: VecDeque<Vec<u8>>,
+}
+
+impl Prepared {
+    pub fn get(&self, id: &[u8]) -> Option<Arc<str>> {
+        lock(&self.0).statements.get(id).cloned()
+    }
+
+    /// Memory is bounded by forgetting the oldest, which its clients then prepare anew.
+    pub fn insert(&self, id: &[u8], statement: &str) {
+        let mut held = lock(&self.0);
+        if held.statements.insert(id.to_vec(), Arc::from(statement)).is_none() {
+            held.order.push_back(id.to_vec());
+        }
+        while held.order.len() > MOST {
+            let oldest = held.order.pop_front();
+            oldest.into_iter().for_each(|id| drop(held.statements.remove(&id)));
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,6 +2,7 @@
 //! it asks for.
 
 pub mod clients;
+pub mod cql;
 pub mod list;
 pub mod pg;
 pub mod pg_clients;
--- a/src/net/pg_clients.rs
+++ b/src/net/pg_clients.rs
@@ -51,7 +51,7 @@
             patience: Span((patience * 1000.0) as i64),
             repeat: value("r") == Some("1"),
             wrote_at: value("after").and_then(|a| a.parse().ok()).map(|ms| place_ms(self.clock, ms)),
-            payload: Arc::new(Payload { bytes: query.to_vec() }),
+            payload: Arc::new(Payload { bytes: query.to_vec(), write: need == Need::Write }),
         })
     }
 
--- a/src/net/pg_servers.rs
+++ b/src/net/pg_servers.rs
@@ -118,7 +118,7 @@
         out
     }
 
-    fn answer(&self, stream: &TcpStream, job: &Job) -> (Reply, bool) {
+    fn answer(&self, stream: &TcpStream, job: &Job, _sent: &[u8]) -> (Reply, bool) {
         self.read(&mut BufReader::with_capacity(4096, stream), job)
     }
 }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -19,8 +19,8 @@
     fn open(&self, stream: &TcpStream) -> Result<(), Outcome>;
     /// The bytes of a job; `left` is how long the gateway will wait, in milliseconds.
     fn request(&self, job: &Job, left_ms: i64) -> Vec<u8>;
-    /// Reads the whole answer; the flag tells whether the connection can carry another request.
-    fn answer(&self, stream: &TcpStream, job: &Job) -> (Reply, bool);
+    /// Reads the whole answer to what was sent; the flag tells whether the connection can carry another request.
+    fn answer(&self, stream: &TcpStream, job: &Job, sent: &[u8]) -> (Reply, bool);
 }
 
 /// What the core's thread may do to a connection at any time: end it.
@@ -167,7 +167,7 @@
         if (&mut &*stream).write_all(&bytes).is_err() {
             return (Reply::bare(Outcome::ConnectFailed), false);
         }
-        self.protocol.answer(stream, job)
+        self.protocol.answer(stream, job, &bytes)
     }
 }
 
--- /dev/null
+++ b/tests/gateway.rs
@@ -0,0 +1,275 @@
+//! The gateway as a process, between stand-ins for clients, databases and discovery.
+
+mod stand;
+
+use std::io::Write;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use stand::*;
+
+fn read(id: u32, d: u32) -> String {
+    format!("/* id={id},c=read,t=acme,d={d},cluster=0 */ SELECT body FROM objects WHERE oid = 'x{id}'")
+}
+
+fn write(class: &str, id: u32, d: u32) -> String {
+    format!(
+        "/* id={id},c={class},t=acme,d={d},k=5c0f{id},cluster=0 */ INSERT INTO objects (oid, body) VALUES ('x{id}', '1') RETURNING body"
+    )
+}
+
+fn value(text: &str) -> Answer {
+    Answer::Value(text.into())
+}
+
+/// The oid of a query as the value, so that an answer shows whose it is.
+fn echo(query: &str) -> Vec<u8> {
+    row(query.split('\'').nth(1).unwrap())
+}
+
+#[test]
+fn a_query_right_behind_the_startup_message_is_served_and_passed_on_with_the_time_left() {
+    let (at, seen) = database("read-write", |_, q| Does::Say(echo(q)));
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::raw(gateway.address);
+    let query = write("book", 1, 3000);
+    client
+        .0
+        .write_all(&[Client::opening(), message(b'Q', format!("{query}\0").as_bytes())].concat())
+        .unwrap();
+    client.greeted();
+    assert_eq!(client.answer(), value("x1"));
+    let passed = seen.query(0);
+    let d: u32 = passed.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    assert!((1..=3000).contains(&d), "{d}");
+    assert_eq!(passed, query.replace("d=3000", &format!("d={d}")), "all but d stays as it was");
+}
+
+#[test]
+fn the_ready_check_and_settings_are_answered_at_once_and_answers_keep_their_order() {
+    let (at, _) = database("read-write", |_, q| {
+        // The first takes longer than the second, which must wait for it.
+        std::thread::sleep(Duration::from_millis(if q.contains("x1'") { 80 } else { 0 }));
+        Does::Say(echo(q))
+    });
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    assert_eq!(client.ask(""), Answer::Empty);
+    assert_eq!(client.ask("SET a = 1"), Answer::Ended, "a completion and nothing else");
+    client.send(&read(1, 3000));
+    client.send(&read(2, 3000));
+    client.send("");
+    assert_eq!(
+        [client.answer(), client.answer(), client.answer()],
+        [value("x1"), value("x2"), Answer::Empty]
+    );
+}
+
+#[test]
+fn a_client_that_leaves_has_its_read_called_off() {
+    let (at, seen) = database("read-write", |_, _| Does::Stall(vec![]));
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    client.send(&read(1, 5000));
+    until("the database has it", || seen.count() == 1);
+    let closed = seen.closed.load(Ordering::SeqCst);
+    drop(client);
+    until("its connection ends", || seen.closed.load(Ordering::SeqCst) > closed);
+    assert_eq!(seen.count(), 1, "nobody waits: it is not sent again");
+}
+
+#[test]
+fn after_a_time_out_the_connection_is_closed_and_late_bytes_reach_no_one() {
+    let (at, seen) = database("read-write", |n, q| {
+        if n == 0 {
+            // Answers long after the gateway has stopped waiting.
+            std::thread::sleep(Duration::from_millis(500));
+            return Does::Cut([row("late"), mode("read-write"), ready()].concat());
+        }
+        Does::Say(echo(q))
+    });
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    let began = Instant::now();
+    assert!(matches!(client.ask(&write("once", 1, 250)), Answer::Error(code, _) if code == "57014"));
+    assert!(began.elapsed() < Duration::from_millis(320), "while the client waits: {:?}", began.elapsed());
+    for id in 2..6 {
+        assert_eq!(client.ask(&write("once", id, 4000)), value(&format!("x{id}")));
+    }
+    let queries = seen.queries.lock().unwrap();
+    assert!(queries[1..].iter().all(|(_, _, connection)| *connection != queries[0].2));
+}
+
+#[rstest]
+#[case::in_the_row(row("half")[..40].to_vec())]
+#[case::before_the_completion(row("half")[..row("half").len() - 14].to_vec())]
+#[case::with_nothing(vec![])]
+fn half_an_answer_is_never_served(#[case] half: Vec<u8>) {
+    let cut = half.clone();
+    let (at, seen) =
+        database("read-write", move |n, q| if n == 0 { Does::Cut(cut.clone()) } else { Does::Say(echo(q)) });
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    // It may have run: a keyed write is sent again inside its window, an unsafe one is not.
+    assert_eq!(client.ask(&write("book", 1, 4000)), value("x1"));
+    assert_eq!(seen.count(), 2);
+    let (at, seen) = database("read-write", move |_, _| Does::Cut(half.clone()));
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    assert!(matches!(client.ask(&write("once", 1, 4000)), Answer::Error(code, _) if code == "58000"));
+    assert_eq!(seen.count(), 1);
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran_and_a_refusal_says_when_to_come_back() {
+    let gateway = platform(&target("s-00000001", free_address(), "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    let Answer::Error(code, Some(after)) = client.ask(&write("once", 1, 600)) else { panic!("no refusal") };
+    assert_eq!(code, "53300");
+    assert!((1..=2000).contains(&after.parse::<u32>().unwrap()), "{after}");
+}
+
+#[test]
+fn a_write_finds_the_primary_by_the_role_that_this_answer_told() {
+    let (one, wrong) = database("read-only", |_, _| Does::Say(error("25006")));
+    let (two, right) = database("read-write", |_, q| Does::Say(echo(q)));
+    let list =
+        [target("s-00000001", one, "read-write", "active"), target("s-00000002", two, "read-only", "active")];
+    let gateway = platform(&list.join(","), 15_000);
+    let mut client = Client::connect(gateway.address);
+    for id in 1..4 {
+        assert_eq!(client.ask(&write("once", id, 4000)), value(&format!("x{id}")));
+    }
+    assert!(wrong.count() <= 1 && right.count() == 3, "the miss is not repeated");
+}
+
+#[test]
+fn a_draining_database_gets_nothing_new_and_the_watch_is_armed_again_in_time() {
+    let (one, drained) = database("read-only", |_, q| Does::Say(echo(q)));
+    let (two, other) = database("read-write", |_, q| Does::Say(echo(q)));
+    let list =
+        [target("s-00000001", one, "read-only", "active"), target("s-00000002", two, "read-write", "active")];
+    let gateway = platform(&list.join(","), 15_000);
+    let mut client = Client::connect(gateway.address);
+    until("the replica is used", || client.ask(&read(1, 4000)) == value("x1") && drained.count() > 0);
+    let watches = gateway.discovery.watches.load(Ordering::SeqCst);
+    gateway.discovery.changes.lock().unwrap().push(target("s-00000001", one, "read-only", "leaving"));
+    let told = Instant::now();
+    until("the change is told and acted on", || {
+        let before = drained.count();
+        assert_eq!(client.ask(&read(2, 4000)), value("x2"));
+        gateway.discovery.watches.load(Ordering::SeqCst) > watches && drained.count() == before
+    });
+    while told.elapsed() < Duration::from_millis(900) {
+        assert_eq!(client.ask(&read(3, 4000)), value("x3"));
+    }
+    let late = |at: &Instant| at.duration_since(told) > Duration::from_millis(500);
+    assert!(drained.queries.lock().unwrap().iter().all(|(at, ..)| !late(at)) && other.count() > 0);
+    until("the watch was armed again", || gateway.discovery.watches.load(Ordering::SeqCst) > watches + 1);
+    assert!(*gateway.discovery.gap.lock().unwrap() < Duration::from_millis(200));
+}
+
+#[test]
+fn while_discovery_is_silent_the_known_list_serves() {
+    let (at, _) = database("read-write", |_, q| Does::Say(echo(q)));
+    let gateway = platform_with(&target("s-00000001", at, "read-write", "active"), 15_000, true);
+    let mut client = Client::connect(gateway.address);
+    assert_eq!(client.ask(&read(1, 4000)), value("x1"));
+    gateway.discovery.silent.store(false, Ordering::SeqCst);
+    until("the watch is taken up", || gateway.discovery.watches.load(Ordering::SeqCst) > 0);
+}
+
+#[test]
+fn a_pooled_connection_is_retired_before_the_database_would_close_it() {
+    let (at, seen) = database("read-write", |_, q| Does::Say(echo(q)));
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 2000);
+    let began = Instant::now();
+    assert_eq!(Client::connect(gateway.address).ask(&read(1, 4000)), value("x1"));
+    until("it is closed", || seen.closed.load(Ordering::SeqCst) == seen.opened.load(Ordering::SeqCst));
+    assert!(began.elapsed() < Duration::from_millis(1950), "{:?}", began.elapsed());
+}
+
+#[test]
+fn a_connection_that_the_database_closed_while_idle_costs_no_attempt() {
+    let (at, seen) =
+        database("read-write", |_, q| Does::Cut([echo(q), mode("read-write"), ready()].concat()));
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    for id in 1..6 {
+        assert_eq!(client.ask(&write("once", id, 4000)), value(&format!("x{id}")));
+        until("its end has come", || seen.closed.load(Ordering::SeqCst) >= id as usize);
+    }
+    assert_eq!(seen.count(), 5);
+}
+
+#[test]
+fn a_planned_stop_answers_all_closes_what_is_idle_and_ends() {
+    let (at, seen) = database("read-write", |_, q| {
+        std::thread::sleep(Duration::from_millis(if q.contains("x1'") { 1200 } else { 0 }));
+        Does::Say(echo(q))
+    });
+    let mut gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut idle = Client::connect(gateway.address);
+    let mut busy = Client::connect(gateway.address);
+    busy.send(&read(1, 4000));
+    until("the database has it", || seen.count() == 1);
+    gateway.program.terminate();
+    let mut late = Client::connect(gateway.address);
+    assert_eq!(late.ask(&read(2, 4000)), value("x2"), "new connections are still taken");
+    assert_eq!(idle.answer(), Answer::Ended, "closed between requests");
+    assert_eq!(busy.answer(), value("x1"));
+    assert!(gateway.program.ended().success());
+}
+
+#[rstest]
+#[case::no_comment(message(b'Q', b"SELECT 1\0"), "42601", true)]
+#[case::unknown_class(message(b'Q', b"/* id=1,c=none,d=9,cluster=0 */ SELECT 1\0"), "42601", true)]
+#[case::no_deadline(message(b'Q', b"/* id=1,c=read,cluster=0 */ SELECT 1\0"), "42601", true)]
+#[case::deadline_no_number(message(b'Q', b"/* id=1,c=read,d=NaN,cluster=0 */ SELECT 1\0"), "42601", true)]
+#[case::group_too_large(message(b'Q', b"/* id=1,c=read,d=9,cluster=99999 */ SELECT 1\0"), "42601", true)]
+#[case::not_utf8(message(b'Q', b"/* \xff\xfe */\0"), "42601", true)]
+#[case::extended([message(b'P', b"\0\0\0\0"), message(b'S', b"")].concat(), "0A000", true)]
+#[case::unknown_type(message(b'?', b"abc"), "08P01", false)]
+#[case::too_long(vec![b'Q', 0x7f, 0xff, 0xff, 0xff], "54000", false)]
+#[case::too_short(vec![b'Q', 0, 0, 0, 3], "54000", false)]
+fn malformed_input_gets_an_error(#[case] input: Vec<u8>, #[case] code: &str, #[case] goes_on: bool) {
+    let (at, seen) = database("read-write", |_, q| Does::Say(echo(q)));
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    client.0.write_all(&input).unwrap();
+    assert!(matches!(client.answer(), Answer::Error(got, _) if got == code));
+    if goes_on && code != "0A000" {
+        assert_eq!(client.ask(&read(1, 4000)), value("x1"));
+    }
+    assert_eq!(Client::connect(gateway.address).ask(&read(2, 4000)), value("x2"), "others are served");
+    assert!(seen.queries.lock().unwrap().iter().all(|(_, q, _)| q.contains("c=read,t=acme")));
+}
+
+#[rstest]
+#[case::startup_too_long(vec![0x7f, 0xff, 0xff, 0xff], "08P01")]
+#[case::old_version(vec![0, 0, 0, 8, 0, 2, 0, 0], "0A000")]
+fn a_malformed_start_gets_an_error(#[case] input: Vec<u8>, #[case] code: &str) {
+    let gateway = platform(&target("s-00000001", free_address(), "read-write", "active"), 15_000);
+    let mut client = Client::raw(gateway.address);
+    client.0.write_all(&input).unwrap();
+    assert!(matches!(client.answer(), Answer::Error(got, _) if got == code));
+}
+
+#[rstest]
+#[case("\"listen\":", "\"lisn\":", "listen")]
+#[case("8c1f30d27a5be964", "xyz", "seed")]
+#[case("\"sockets\":1024", "\"sockets\":-1", "limits.sockets")]
+#[case("\"max-attempts\":6", "\"max-attempts\":\"six\"", "limits.max-attempts")]
+#[case("\"connect-timeout-ms\":250.0", "\"connect-timeout-ms\":0", "limits.connect-timeout-ms")]
+#[case("\"tick-ms\":5.0,", "", "tick-ms")]
+fn a_bad_configuration_is_told_by_its_key(#[case] good: &str, #[case] bad: &str, #[case] key: &str) {
+    let path = folder().join("config.json");
+    let text = config(free_address(), free_address(), "", 15_000);
+    assert!(text.contains(good));
+    std::fs::write(&path, text.replace(good, bad)).unwrap();
+    let program = std::process::Command::new(env!("CARGO_BIN_EXE_valehatch"));
+    let out = { program }.env("BALANCER_CONFIG", &path).output().unwrap();
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && said.contains(key), "{said}");
+}
--- /dev/null
+++ b/tests/stand/mod.rs
@@ -0,0 +1,378 @@
+//! What the gateway's tests stand on: the program as a process, and small stand-ins for those it talks to.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+pub const WAIT: Duration = Duration::from_secs(20);
+
+/// Waits until something holds; that it never does fails the test.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !holds() {
+        assert!(Instant::now() < end, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+}
+
+/// A folder of the test's own.
+pub fn folder() -> PathBuf {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("valehatch-test-{}-{n}", std::process::id()));
+    std::fs::create_dir_all(&path).expect("a folder");
+    path
+}
+
+/// The gateway as a process; it is ended with the test.
+pub struct Program(pub Child);
+
+impl Program {
+    pub fn start(args: &[&str], config: Option<&PathBuf>, address: SocketAddr) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_valehatch"));
+        command.args(args).env_remove("BALANCER_CONFIG").stderr(Stdio::null());
+        if let Some(path) = config {
+            command.env("BALANCER_CONFIG", path);
+        }
+        let mut program = Self(command.spawn().expect("the gateway starts"));
+        until("the gateway listens", || {
+            assert!(program.0.try_wait().unwrap().is_none(), "the gateway ended at its start");
+            TcpStream::connect(address).is_ok()
+        });
+        program
+    }
+
+    pub fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.0.id().to_string()]).status();
+        assert!(done.unwrap().success());
+    }
+
+    pub fn ended(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("the gateway ends", || {
+            status = self.0.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Accepts connections in a thread each.
+pub fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().unwrap();
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = Arc::clone(&serve);
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+// ---- PostgreSQL ----
+
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len() + 4).unwrap().to_be_bytes();
+    [&[kind], &length[..], body].concat()
+}
+
+pub fn read_message(from: &mut impl Read) -> Option<(u8, Vec<u8>)> {
+    let mut head = [0; 5];
+    from.read_exact(&mut head).ok()?;
+    let mut body = vec![0; u32::from_be_bytes(head[1..].try_into().unwrap()) as usize - 4];
+    from.read_exact(&mut body).ok()?;
+    Some((head[0], body))
+}
+
+pub fn row(value: &str) -> Vec<u8> {
+    let length = u32::try_from(value.len()).unwrap().to_be_bytes();
+    let column = [&[0, 1], &b"body\0"[..], &[0; 18]].concat();
+    let data = [&[0, 1], &length[..], value.as_bytes()].concat();
+    [message(b'T', &column), message(b'D', &data), message(b'C', b"SELECT 1\0")].concat()
+}
+
+pub fn error(code: &str) -> Vec<u8> {
+    message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
+}
+
+pub fn mode(name: &str) -> Vec<u8> {
+    message(b'S', format!("mode\0{name}\0").as_bytes())
+}
+
+pub fn ready() -> Vec<u8> {
+    message(b'Z', b"I")
+}
+
+/// What a stand-in does with a query.
+pub enum Does {
+    /// Writes this and goes on.
+    Say(Vec<u8>),
+    /// Writes this and ends the connection.
+    Cut(Vec<u8>),
+    /// Writes this and nothing more, until the other side ends the connection.
+    Stall(Vec<u8>),
+}
+
+#[derive(Default)]
+pub struct Seen {
+    /// The queries, with the time, and the number of their connection.
+    pub queries: Mutex<Vec<(Instant, String, usize)>>,
+    pub opened: AtomicUsize,
+    pub closed: AtomicUsize,
+}
+
+impl Seen {
+    pub fn count(&self) -> usize {
+        self.queries.lock().unwrap().len()
+    }
+    pub fn query(&self, n: usize) -> String {
+        self.queries.lock().unwrap()[n].1.clone()
+    }
+}
+
+/// A database: probes are answered, other queries as `does` says.
+pub fn database(
+    role: &'static str,
+    does: impl Fn(usize, &str) -> Does + Send + Sync + 'static,
+) -> (SocketAddr, Arc<Seen>) {
+    let seen = Arc::new(Seen::default());
+    let shared = Arc::clone(&seen);
+    let address = listen(move |mut stream| {
+        let connection = shared.opened.fetch_add(1, Ordering::SeqCst);
+        let mut head = [0; 4];
+        if stream.read_exact(&mut head).is_ok() {
+            let mut rest = vec![0; u32::from_be_bytes(head) as usize - 4];
+            stream.read_exact(&mut rest).unwrap();
+            let _ = stream.write_all(&[message(b'R', &[0; 4]), ready()].concat());
+            while let Some((b'Q', body)) = read_message(&mut stream) {
+                let query = String::from_utf8(body).unwrap().trim_end_matches('\0').to_owned();
+                if query == "SHOW stats" {
+                    let primary = u8::from(role == "read-write");
+                    let now = std::time::UNIX_EPOCH.elapsed().unwrap().as_secs_f64();
+                    let stats = format!("x0={now},x1={primary},util=0.1,inflight=0");
+                    let _ = stream.write_all(&[row(&stats), ready()].concat());
+                    continue;
+                }
+                let n = {
+                    let mut queries = shared.queries.lock().unwrap();
+                    queries.push((Instant::now(), query.clone(), connection));
+                    queries.len() - 1
+                };
+                match does(n, &query) {
+                    Does::Say(bytes) => {
+                        let _ = stream.write_all(&[bytes, mode(role), ready()].concat());
+                    }
+                    Does::Cut(bytes) => {
+                        let _ = stream.write_all(&bytes);
+                        break;
+                    }
+                    Does::Stall(bytes) => {
+                        let _ = stream.write_all(&bytes);
+                        let _ = stream.read(&mut [0]);
+                        break;
+                    }
+                }
+            }
+        }
+        shared.closed.fetch_add(1, Ordering::SeqCst);
+    });
+    (address, seen)
+}
+
+/// A client's session.
+pub struct Client(pub TcpStream);
+
+/// What a query was answered: the value, or code and detail of the error.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Answer {
+    Value(String),
+    Error(String, Option<String>),
+    Empty,
+    Ended,
+}
+
+impl Client {
+    pub fn opening() -> Vec<u8> {
+        let fields = b"\0\x03\0\0user\0worker\0database\0catalog\0\0";
+        [&u32::try_from(fields.len() + 4).unwrap().to_be_bytes()[..], fields].concat()
+    }
+
+    pub fn raw(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).expect("the gateway listens");
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        Self(stream)
+    }
+
+    pub fn connect(address: SocketAddr) -> Self {
+        let mut client = Self::raw(address);
+        client.0.write_all(&Self::opening()).unwrap();
+        client.greeted();
+        client
+    }
+
+    pub fn greeted(&mut self) {
+        while read_message(&mut self.0).expect("a greeting").0 != b'Z' {}
+    }
+
+    pub fn send(&mut self, query: &str) {
+        self.0.write_all(&message(b'Q', format!("{query}\0").as_bytes())).unwrap();
+    }
+
+    pub fn answer(&mut self) -> Answer {
+        let mut answer = Answer::Ended;
+        loop {
+            match read_message(&mut self.0) {
+                Some((b'D', body)) => answer = Answer::Value(String::from_utf8(body[6..].to_vec()).unwrap()),
+                Some((b'E', body)) => {
+                    let text = String::from_utf8(body).unwrap();
+                    let field = |c| text.split('\0').find_map(|f| f.strip_prefix(c)).map(str::to_owned);
+                    answer = Answer::Error(field('C').unwrap(), field('D'));
+                }
+                Some((b'I', _)) => answer = Answer::Empty,
+                Some((b'Z', _)) | None => return answer,
+                Some(_) => {}
+            }
+        }
+    }
+
+    pub fn ask(&mut self, query: &str) -> Answer {
+        self.send(query);
+        self.answer()
+    }
+}
+
+// ---- Discovery and the platform's configuration ----
+
+#[derive(Default)]
+pub struct Discovery {
+    pub changes: Mutex<Vec<String>>,
+    pub silent: std::sync::atomic::AtomicBool,
+    /// From the end of an answer to the next call, the longest.
+    pub gap: Mutex<Duration>,
+    pub watches: AtomicUsize,
+}
+
+pub fn target(uid: &str, address: SocketAddr, mode: &str, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"m","pod_group":0,"state":"{state}","capacity_hint":1.0,"boot_ms":0,"mode":"{mode}"}}"#
+    )
+}
+
+impl Discovery {
+    /// Serves the list; each change pushed to `changes` is a newer version.
+    pub fn start(list: String) -> (SocketAddr, Arc<Self>) {
+        let all = Arc::new(Self::default());
+        let shared = Arc::clone(&all);
+        let address = listen(move |mut stream| {
+            let mut answered: Option<Instant> = None;
+            loop {
+                let mut head = vec![];
+                while !head.ends_with(b"\r\n\r\n") {
+                    let mut byte = [0];
+                    if stream.read_exact(&mut byte).is_err() {
+                        return;
+                    }
+                    head.push(byte[0]);
+                }
+                if let Some(at) = answered {
+                    let mut gap = shared.gap.lock().unwrap();
+                    *gap = at.elapsed().max(*gap);
+                }
+                let head = String::from_utf8(head).unwrap();
+                let from =
+                    head.split_once("from=").map(|(_, r)| r.split('&').next().unwrap().parse().unwrap());
+                let hold =
+                    head.split_once("hold_ms=").map(|(_, r)| r.split(' ').next().unwrap().parse().unwrap());
+                let end = Instant::now() + Duration::from_millis(hold.unwrap_or(0));
+                let body = loop {
+                    let changes = shared.changes.lock().unwrap();
+                    let rev = changes.len();
+                    if shared.silent.load(Ordering::SeqCst) {
+                        drop(changes);
+                        thread::sleep(Duration::from_millis(5));
+                        continue;
+                    }
+                    match from {
+                        None => break format!(r#"{{"rev":{rev},"all":true,"targets":[{list}]}}"#),
+                        Some(from) if rev > from || Instant::now() >= end => {
+                            let news = changes[from..].join(",");
+                            break format!(r#"{{"rev":{rev},"all":false,"targets":[{news}]}}"#);
+                        }
+                        Some(_) => drop(changes),
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                };
+                shared.watches.fetch_add(usize::from(from.is_some()), Ordering::SeqCst);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                if stream.write_all((head + &body).as_bytes()).is_err() {
+                    return;
+                }
+                answered = Some(Instant::now());
+            }
+        });
+        (address, all)
+    }
+}
+
+/// Classes: `read` (any member), `book` (a keyed write), `once` (a write that must not be repeated).
+pub fn config(listen: SocketAddr, discovery: SocketAddr, known: &str, conn_idle_ms: u32) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","effect":"{effect}","group":"cell","deadline-ms":5000.0,"slo-ms":2000.0,"late-worth":0.3,"window-ms":5000.0,"worth":1.0}}"#
+        )
+    };
+    let classes = [class("read", "safe"), class("book", "keyed"), class("once", "unsafe")].join(",");
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+        "limits":{{"sockets":1024}},"known":{{"rev":0,"all":true,"targets":[{known}]}},
+        "settings":{{"areas":["a"],"skus":["m"],"classes":[{classes}],
+        "family-info":{{"needs-by-class":["eventual","mutate","mutate"],"position-zero-ms":0.0,
+            "role-listed":"trailing","server-checks":"await","catch-up-wait-ms":20.0,"token-mode":"kept"}},
+        "fleet-size":1,"zone":0,"tick-ms":5.0,"membership-mode":"push","some-new":{{"key":7}},
+        "limits":{{"cancel":true,"conn-idle-ms":{conn_idle_ms},"connect-timeout-ms":250.0,"max-attempts":6,
+            "max-retry-after-ms":2000.0,"most-held":20000,"probing":true,"retry-after":false,"second-copies":false}},
+        "rules":{{"ask-within-ms":10000.0,"cold-from":0.24,"cold-ms":17000.0,"tip-after-ms":2000.0,"tip-multiple":3.0}},
+        "telemetry":{{"fields":["x0","x1","busy","rif"],"source":"on_probe"}},
+        "tenants":[{{"name":"acme","allowance-per-s":100.0,"share":1.0}}],"over-share-worth":0.2}}}}"#
+    )
+}
+
+pub struct Platform {
+    pub address: SocketAddr,
+    pub program: Program,
+    pub discovery: Arc<Discovery>,
+}
+
+/// A gateway between databases, listed as `known` says, and the clients of a test.
+pub fn platform(known: &str, conn_idle_ms: u32) -> Platform {
+    platform_with(known, conn_idle_ms, false)
+}
+
+pub fn platform_with(known: &str, conn_idle_ms: u32, silent: bool) -> Platform {
+    let (discovery_at, discovery) = Discovery::start(known.to_owned());
+    discovery.silent.store(silent, Ordering::SeqCst);
+    let address = free_address();
+    let path = folder().join("config.json");
+    std::fs::write(&path, config(address, discovery_at, known, conn_idle_ms)).unwrap();
+    let program = Program::start(&[], Some(&path), address);
+    Platform { address, program, discovery }
+}
