Prove the Cassandra front against stand-ins and add the SNMP agent

Seen: a contract for "INSERT INTO stays." never matched, so its writes stood under the unknown contract and waited 5 s, not 0.5 s. At fault: Store::contract asked for the end of a word also behind a beginning that ends in no word. Checked: the same test now gets its time-out after 0.5 s. 3,000 writes under resets, cuts and stalls have no doubled effect, counted by the nodes; a drained node gets no page after 500 ms.

--- a/src/config/cassandra.rs
+++ b/src/config/cassandra.rs
@@ -29,6 +29,17 @@
     contract: Vec<ContractLine>,
     #[serde(default)]
     budget: Vec<Budget>,
+    snmp: Option<Agent>,
+}
+
+/// Where the SNMP agent answers, and to whom.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct Agent {
+    /// Its UDP address.
+    pub listen: SocketAddr,
+    /// The community that it answers.
+    pub community: String,
 }
 
 const fn sockets() -> usize {
@@ -150,6 +161,8 @@
     pub listen: SocketAddr,
     /// Descriptors that this front may hold.
     pub sockets: usize,
+    /// The SNMP agent, unless it is off.
+    pub snmp: Option<Agent>,
     /// Settings and names.
     pub site: Site,
     /// The members and where they listen.
@@ -192,6 +205,7 @@
         Ok(Self {
             listen: file.listen,
             sockets: file.sockets,
+            snmp: file.snmp.clone(),
             site: Site::new(&settings(&file))?,
             members: file.member.iter().enumerate().map(|(n, m)| (entry(n, m), m.address)).collect(),
             contracts,
@@ -202,9 +216,12 @@
     #[must_use]
     pub fn contract(&self, statement: &str) -> &Contract {
         let text = normal(statement);
-        let ends =
-            |rest: &str| rest.is_empty() || !rest.starts_with(|c: char| c.is_alphanumeric() || c == '_');
-        let knows = |c: &&Contract| c.starts.iter().any(|s| text.strip_prefix(s.as_str()).is_some_and(ends));
+        // Whole words: a beginning that ends in a word must not go on with the same word.
+        let word = |c: char| c.is_alphanumeric() || c == '_';
+        let begins = |s: &String| {
+            text.strip_prefix(s.as_str()).is_some_and(|rest| !(s.ends_with(word) && rest.starts_with(word)))
+        };
+        let knows = |c: &&Contract| c.starts.iter().any(begins);
         self.contracts.iter().find(knows).unwrap_or_else(|| self.unknown())
     }
 
@@ -225,6 +242,9 @@
     if file.sockets < 64 {
         return Err(format!("sockets is {}, below 64", file.sockets));
     }
+    if file.snmp.as_ref().is_some_and(|a| a.community.is_empty()) {
+        return Err("snmp.community is empty".into());
+    }
     if file.member.is_empty() {
         return Err("member: the store has none".into());
     }
--- a/src/core/figures.rs
+++ b/src/core/figures.rs
@@ -25,7 +25,6 @@
 
 /// What is shown of a member.
 #[derive(Clone, Debug)]
-#[allow(dead_code)] // Read by the agent, which comes next.
 pub struct Seen {
     pub group: u16,
     pub state: NodeState,
--- a/src/core/words.rs
+++ b/src/core/words.rs
@@ -4,7 +4,7 @@
 
 use valehatch::{Entry, GroupId, Outcome, Report, Role, SessionKey, Settings, Span, Time};
 
-pub use super::figures::{Figures, Final};
+pub use super::figures::{Figures, Final, OUTCOMES, Row};
 
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident) => {
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,7 +12,7 @@
 
 use crossbeam_channel::{Receiver, Sender, bounded};
 use valehatch::Span;
-use valehatch::config::cassandra::Store;
+use valehatch::config::cassandra::{Agent, Store};
 use valehatch::config::{Gateway, Site};
 
 use crate::core::{Clock, Effect, Event, Facts, Figures, State};
@@ -34,11 +34,12 @@
     front: Arc<dyn Serves>,
     protocol: Arc<dyn Speaks>,
     inbox: (Sender<Event>, Receiver<Event>),
+    snmp: Option<Agent>,
 }
 
 /// Serves a front on a core of its own until it has stopped.
 fn serve(parts: Parts) -> Result<(), String> {
-    let Parts { site, sockets, seed, listen, clock, front, protocol, inbox: (events, inbox) } = parts;
+    let Parts { site, sockets, seed, listen, clock, front, protocol, inbox: (events, inbox), snmp } = parts;
     let budget = sockets - SPARE.min(sockets / 2);
     let timeout = Duration::from_millis(site.connect_timeout_ms);
     let facts = Facts {
@@ -47,6 +48,10 @@
         probe_timeout: Span::from_millis(i64::try_from(site.connect_timeout_ms).unwrap_or(250)),
     };
     let figures = Arc::new(Figures::new(site.classes.len(), site.tenants.len()));
+    if let Some(Agent { listen, community }) = snmp {
+        let mib = net::snmp::Mib { figures: Arc::clone(&figures), site, clock, began: clock.now() };
+        net::snmp::serve(listen, community, mib).map_err(|e| format!("snmp.listen: {listen}: {e}"))?;
+    }
     let mut state = State::new(facts, seed, figures).map_err(|e| e.to_string())?;
     net::signals::watch(events.clone()).map_err(|e| format!("signals: {e}"))?;
     let mut servers = Servers::new(protocol, events.clone(), clock, timeout);
@@ -78,7 +83,7 @@
     log!("{name}: serves the platform");
     let front = Arc::new(net::pg_clients::Front { site: site.clone(), clock });
     let protocol = Arc::new(net::pg_servers::Databases { clock });
-    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox })
+    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp: None })
 }
 
 /// The Cassandra front, told by a file of the operators'.
@@ -88,10 +93,11 @@
     net::cql::members::watch(path.into(), &store, inbox.0.clone()).map_err(|e| format!("members: {e}"))?;
     let prepared = Arc::new(net::cql::Prepared::default());
     let protocol = Arc::new(net::cql::servers::Nodes::new(Arc::clone(&prepared), clock));
-    let (listen, sockets, site) = (store.listen, store.sockets, store.site.clone());
+    let (listen, sockets) = (store.listen, store.sockets);
+    let (site, snmp) = (store.site.clone(), store.snmp.clone());
     let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32;
     let front = Arc::new(net::cql::clients::Front { store, prepared });
-    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox })
+    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp })
 }
 
 fn main() -> ExitCode {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod pg_servers;
 pub mod servers;
 pub mod signals;
+pub mod snmp;
 
 use std::io;
 use std::thread;
--- /dev/null
+++ b/tests/cassandra.rs
@@ -0,0 +1,478 @@
+//! The Cassandra front as a process, between stand-in clients and stand-in nodes.
+
+mod stand;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rstest::rstest;
+use stand::{Program, WAIT, folder, free_address, listen, until};
+
+const ERROR: u8 = 0x00;
+const READY: u8 = 0x02;
+const SUPPORTED: u8 = 0x06;
+const RESULT: u8 = 0x08;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Frame {
+    version: u8,
+    flags: u8,
+    stream: i16,
+    op: u8,
+    body: Vec<u8>,
+}
+
+impl Frame {
+    fn bytes(&self) -> Vec<u8> {
+        let length = u32::try_from(self.body.len()).unwrap().to_be_bytes();
+        let s = self.stream.to_be_bytes();
+        [&[self.version, self.flags, s[0], s[1], self.op], &length[..], &self.body].concat()
+    }
+    fn read(from: &mut impl Read) -> Option<Self> {
+        let mut h = [0; 9];
+        from.read_exact(&mut h).ok()?;
+        let mut body = vec![0; u32::from_be_bytes(h[5..].try_into().unwrap()) as usize];
+        from.read_exact(&mut body).ok()?;
+        Some(Self { version: h[0], flags: h[1], stream: i16::from_be_bytes([h[2], h[3]]), op: h[4], body })
+    }
+    /// Code and message of an error, behind a custom payload if there is one.
+    fn error(&self) -> (u32, String) {
+        assert_eq!(self.op, ERROR, "{self:?}");
+        let mut at = &self.body[..];
+        if self.flags & 4 != 0 {
+            let key = usize::from(at[3]);
+            let value = usize::from(at[4 + key + 3]);
+            at = &at[4 + key + 4 + value..];
+        }
+        let text = String::from_utf8(at[6..6 + usize::from(at[5]) + 256 * usize::from(at[4])].to_vec());
+        (u32::from_be_bytes(at[..4].try_into().unwrap()), text.unwrap())
+    }
+}
+
+fn long(text: &str) -> Vec<u8> {
+    [&u32::try_from(text.len()).unwrap().to_be_bytes()[..], text.as_bytes()].concat()
+}
+
+fn short(bytes: &[u8]) -> Vec<u8> {
+    [&u16::try_from(bytes.len()).unwrap().to_be_bytes()[..], bytes].concat()
+}
+
+fn query(text: &str) -> (u8, Vec<u8>) {
+    (0x07, [&long(text)[..], &[0, 1, 0]].concat())
+}
+
+/// A page of rows, as its value; the paging state shows that more follow.
+fn rows(value: &str) -> Vec<u8> {
+    [&[0, 0, 0, 2][..], value.as_bytes()].concat()
+}
+
+fn fault(code: u32, more: &[u8]) -> Vec<u8> {
+    [&code.to_be_bytes()[..], &short(b"no"), more].concat()
+}
+
+enum Does {
+    Say(u8, Vec<u8>),
+    /// Part of an answer, then the end of the connection.
+    Cut,
+    /// Ends the connection before anything is said.
+    Reset,
+    /// Part of an answer, then silence.
+    Stall,
+}
+
+#[derive(Default)]
+struct Node {
+    /// Requests with their time, connection and stream.
+    seen: Mutex<Vec<(Instant, usize, Frame)>>,
+    opened: AtomicUsize,
+    closed: AtomicUsize,
+}
+
+fn node(does: impl Fn(&Frame, &Node) -> Does + Send + Sync + 'static) -> (SocketAddr, Arc<Node>) {
+    let node = Arc::new(Node::default());
+    let shared = Arc::clone(&node);
+    let address = listen(move |mut stream| {
+        let connection = shared.opened.fetch_add(1, Ordering::SeqCst);
+        while let Some(frame) = Frame::read(&mut stream) {
+            let answer = |op, body| Frame { version: 0x84, flags: 0, stream: frame.stream, op, body }.bytes();
+            let bytes = match frame.op {
+                0x01 => answer(READY, vec![]),
+                0x05 => answer(SUPPORTED, vec![0, 0]),
+                _ => {
+                    shared.seen.lock().unwrap().push((Instant::now(), connection, frame.clone()));
+                    let half = || answer(RESULT, rows("never whole"))[..14].to_vec();
+                    match does(&frame, &shared) {
+                        Does::Say(op, body) => answer(op, body),
+                        Does::Cut => {
+                            let _ = stream.write_all(&half());
+                            break;
+                        }
+                        Does::Reset => break,
+                        Does::Stall => {
+                            let _ = stream.write_all(&half());
+                            while stream.read(&mut [0]).is_ok_and(|n| n > 0) {}
+                            break;
+                        }
+                    }
+                }
+            };
+            if stream.write_all(&bytes).is_err() {
+                break;
+            }
+        }
+        shared.closed.fetch_add(1, Ordering::SeqCst);
+    });
+    (address, node)
+}
+
+fn served(frame: &Frame, _: &Node) -> Does {
+    let text = String::from_utf8_lossy(&frame.body).into_owned();
+    Does::Say(RESULT, rows(&text))
+}
+
+struct Gateway {
+    address: SocketAddr,
+    path: PathBuf,
+    members: Vec<SocketAddr>,
+    _program: Program,
+}
+
+fn file(listen: SocketAddr, members: &[SocketAddr], leaving: Option<usize>) -> String {
+    let mut text = format!("listen = \"{listen}\"\n");
+    for (n, address) in members.iter().enumerate() {
+        let state = if leaving == Some(n) { "leaving" } else { "active" };
+        text += &format!(
+            "[[member]]\nname = \"m{n}\"\naddress = \"{address}\"\nprimary = {}\nstate = \"{state}\"\n",
+            n == 0
+        );
+    }
+    text + "
+[[budget]]
+name = \"acme\"
+share = 1.0
+allowance-per-s = 100
+[[contract]]
+name = \"read\"
+budget = \"acme\"
+statements = [\"SELECT\"]
+need = \"any\"
+effect = \"safe\"
+aim-ms = 2000
+deadline-ms = 5000
+worth = 1
+[[contract]]
+name = \"write\"
+statements = [\"insert into stays.\"]
+need = \"write\"
+effect = \"unsafe\"
+aim-ms = 250
+deadline-ms = 500
+worth = 1
+late-worth = 0.5
+"
+}
+
+fn gateway(members: &[SocketAddr]) -> Gateway {
+    let (address, path) = (free_address(), folder().join("cassandra.toml"));
+    std::fs::write(&path, file(address, members, None)).unwrap();
+    let program = Program::start(&["--cassandra", path.to_str().unwrap()], None, address);
+    Gateway { address, path, members: members.to_vec(), _program: program }
+}
+
+impl Gateway {
+    fn drain(&self, member: usize) {
+        let fresh = self.path.with_extension("new");
+        std::fs::write(&fresh, file(self.address, &self.members, Some(member))).unwrap();
+        std::fs::rename(fresh, &self.path).unwrap();
+    }
+}
+
+struct Client(TcpStream);
+
+impl Client {
+    fn raw(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        Self(stream)
+    }
+    fn connect(address: SocketAddr) -> Self {
+        let mut client = Self::raw(address);
+        let startup = [&[0, 1][..], &short(b"CQL_VERSION"), &short(b"3.0.0")].concat();
+        assert_eq!(client.ask(1, (0x01, startup)).op, READY);
+        client
+    }
+    fn send(&mut self, stream: i16, (op, body): (u8, Vec<u8>)) {
+        self.0.write_all(&Frame { version: 4, flags: 0, stream, op, body }.bytes()).unwrap();
+    }
+    fn answer(&mut self) -> Frame {
+        Frame::read(&mut self.0).expect("an answer")
+    }
+    fn ask(&mut self, stream: i16, request: (u8, Vec<u8>)) -> Frame {
+        self.send(stream, request);
+        let answer = self.answer();
+        assert_eq!((answer.version, answer.stream), (0x84, stream));
+        answer
+    }
+}
+
+#[test]
+fn a_session_is_greeted_and_answers_come_under_their_streams() {
+    let (at, _) = node(|f, n| {
+        // The slow one must not hold up the others of its connection.
+        thread::sleep(Duration::from_millis(if f.body.ends_with(b"slow\0\x01\0") { 300 } else { 0 }));
+        served(f, n)
+    });
+    let gateway = gateway(&[at]);
+    let mut client = Client::raw(gateway.address);
+    assert_eq!(client.ask(7, (0x05, vec![])).op, SUPPORTED);
+    assert_eq!(client.ask(3, query("SELECT 1")).error().0, 0x000a, "STARTUP comes first");
+    let mut client = Client::connect(gateway.address);
+    assert_eq!(client.ask(8, (0x0b, [&[0, 1][..], &short(b"STATUS_CHANGE")].concat())).op, READY);
+    client.send(100, query("SELECT slow"));
+    (0..100).for_each(|n| client.send(n, query(&format!("SELECT {n}"))));
+    let mut order = vec![];
+    for _ in 0..=100 {
+        let answer = client.answer();
+        let text = if answer.stream == 100 { "slow".into() } else { answer.stream.to_string() };
+        assert_eq!(answer.body, rows(&String::from_utf8_lossy(&query(&format!("SELECT {text}")).1)));
+        order.push(answer.stream);
+    }
+    assert_eq!(order.iter().collect::<BTreeSet<_>>().len(), 101);
+    assert_eq!(order.last(), Some(&100));
+}
+
+#[rstest]
+#[case::version_five([&[5, 0, 0, 9, 0x05][..], &[0; 4]].concat(), "v4")]
+#[case::version_three([&[3, 0, 0, 9, 0x05][..], &[0; 4]].concat(), "v4")]
+#[case::too_long(vec![4, 0, 0, 9, 0x07, 0x7f, 0xff, 0xff, 0xff], "the most")]
+#[case::cut_body(Frame { version: 4, flags: 0, stream: 9, op: 0x07, body: vec![0, 0, 1, 0, 65] }.bytes(), "ends too early")]
+#[case::no_utf8(Frame { version: 4, flags: 0, stream: 9, op: 0x07, body: vec![0, 0, 0, 1, 0xff] }.bytes(), "UTF-8")]
+#[case::unknown_opcode(Frame { version: 4, flags: 0, stream: 9, op: 0x77, body: vec![] }.bytes(), "opcode")]
+#[case::batch_kind(Frame { version: 4, flags: 0, stream: 9, op: 0x0d, body: vec![0, 0, 1, 9] }.bytes(), "batch")]
+#[case::compressed(Frame { version: 4, flags: 1, stream: 9, op: 0x07, body: vec![] }.bytes(), "compression")]
+fn malformed_frames_get_a_protocol_error_that_says_why(#[case] input: Vec<u8>, #[case] says: &str) {
+    let (at, seen) = node(served);
+    let gateway = gateway(&[at]);
+    let mut client = Client::connect(gateway.address);
+    client.0.write_all(&input).unwrap();
+    let answer = client.answer();
+    let (code, text) = answer.error();
+    assert_eq!((answer.version, answer.stream, code), (0x84, 9, 0x000a));
+    assert!(text.contains(says), "{text}");
+    assert_eq!(Client::connect(gateway.address).ask(1, query("SELECT 1")).op, RESULT, "others are served");
+    assert_eq!(seen.seen.lock().unwrap().len(), 1);
+}
+
+/// Every node gives a statement the same id, and knows only what it was told itself.
+fn forgetful(known: &Mutex<BTreeSet<Vec<u8>>>, frame: &Frame) -> Does {
+    match frame.op {
+        0x09 => {
+            known.lock().unwrap().insert(frame.body[4..].to_vec());
+            Does::Say(RESULT, [&[0, 0, 0, 4][..], &short(&frame.body[4..]), &[0; 8]].concat())
+        }
+        0x0a => {
+            let id = frame.body[2..2 + usize::from(frame.body[1])].to_vec();
+            if known.lock().unwrap().contains(&id) {
+                Does::Say(RESULT, rows("prepared"))
+            } else {
+                Does::Say(ERROR, fault(0x2500, &short(&id)))
+            }
+        }
+        _ => Does::Say(RESULT, rows("plain")),
+    }
+}
+
+#[test]
+fn a_node_that_forgot_a_statement_is_told_it_again_and_an_id_from_elsewhere_is_unprepared() {
+    let known: Arc<Mutex<BTreeSet<Vec<u8>>>> = Arc::default();
+    let shared = Arc::clone(&known);
+    let (at, seen) = node(move |f, _| forgetful(&shared, f));
+    let gateway = gateway(&[at]);
+    let mut client = Client::connect(gateway.address);
+    let id = b"INSERT INTO stays.guest (id) VALUES (?)";
+    let execute = || (0x0a, [&short(id)[..], &[0, 1, 0]].concat());
+    assert_eq!(client.ask(5, execute()).error().0, 0x2500);
+    assert_eq!(client.ask(6, (0x09, long(std::str::from_utf8(id).unwrap()))).op, RESULT);
+    known.lock().unwrap().clear();
+    assert_eq!(client.ask(7, execute()).body, rows("prepared"));
+    let ops: Vec<u8> = seen.seen.lock().unwrap().iter().map(|(_, _, f)| f.op).collect();
+    assert_eq!(ops, [0x09, 0x0a, 0x09, 0x0a], "an execution that it did not know never ran");
+    known.lock().unwrap().clear();
+    let batch = [&[0, 0, 1, 1][..], &short(id), &[0, 0, 0, 1, 0]].concat();
+    assert_eq!(client.ask(8, (0x0d, batch)).op, RESULT, "batches go through the same contract");
+}
+
+#[test]
+fn refusals_are_overloaded_with_a_retry_after_and_a_fault_of_the_statement_is_passed_on() {
+    let (at, _) = node(|_, _| Does::Say(ERROR, fault(0x2200, &[])));
+    let one = gateway(&[at]);
+    assert_eq!(Client::connect(one.address).ask(4, query("SELECT nonsense")).error().0, 0x2200);
+    assert_eq!(Client::connect(one.address).ask(4, query("USE stays")).error().0, 0x2200);
+    let two = gateway(&[free_address()]);
+    let answer = Client::connect(two.address).ask(4, query("INSERT INTO stays.guest (id) VALUES (1)"));
+    let (code, text) = answer.error();
+    assert!(code == 0x1001 && answer.flags & 4 != 0 && text.contains("retry after"), "{text}");
+    let payload = String::from_utf8_lossy(&answer.body);
+    let after: String = payload.split("retry-after-ms").nth(1).unwrap().chars().skip(4).take(3).collect();
+    assert!(text.contains(&after) && after.parse::<u32>().is_ok(), "{after}");
+}
+
+#[rstest]
+#[case::a_known_write("INSERT INTO stays.guest (id) VALUES (1)", Does::Stall, 0x1100, true)]
+#[case::cut_short("INSERT INTO stays.guest (id) VALUES (1)", Does::Cut, 0x0000, true)]
+#[case::unknown_counts_as_an_unsafe_write("DELETE FROM stays.guest", Does::Reset, 0x0000, true)]
+#[case::server_error("TRUNCATE stays.guest", Does::Say(ERROR, vec![0; 6]), 0x0000, false)]
+fn a_write_that_may_have_run_fails_and_is_sent_once(
+    #[case] text: &str,
+    #[case] does: Does,
+    #[case] code: u32,
+    #[case] broken: bool,
+) {
+    let does = Mutex::new(Some(does));
+    let (at, seen) = node(move |f, n| does.lock().unwrap().take().unwrap_or_else(|| served(f, n)));
+    let gateway = gateway(&[at]);
+    let mut client = Client::connect(gateway.address);
+    let began = Instant::now();
+    let answer = client.ask(2, query(text));
+    assert_eq!(answer.error().0, code);
+    assert!(began.elapsed() < Duration::from_millis(560), "{:?}", began.elapsed());
+    assert_eq!(seen.seen.lock().unwrap().len(), 1);
+    // What stalled keeps its connection and its stream to itself.
+    until("the connection was given up", || !broken || seen.closed.load(Ordering::SeqCst) > 0);
+    let mut next = None;
+    until("the node is used again", || {
+        next = Some(client.ask(3, query("INSERT INTO stays.guest (id) VALUES (2)")));
+        next.as_ref().unwrap().op == RESULT
+    });
+    let all = seen.seen.lock().unwrap();
+    let first = &all[0];
+    assert!(all[1..].iter().all(|(_, c, f)| (*c != first.1 || !broken) && f.stream != first.2.stream));
+}
+
+#[test]
+fn a_paged_result_cut_by_a_drain_goes_on_elsewhere_and_the_drainer_gets_nothing_new() {
+    // A page holds its number; the paging state in the request asks for the next one.
+    let page = |f: &Frame, _: &Node| Does::Say(RESULT, rows(&format!("page {}", f.body.last().unwrap())));
+    let (a, one) = node(page);
+    let (b, two) = node(page);
+    let (c, three) = node(page);
+    let gateway = gateway(&[a, b, c]);
+    let mut client = Client::connect(gateway.address);
+    // QUERY with a page size of 10 and a paging state.
+    let ask = |n: u8| {
+        (0x07, [&long("SELECT * FROM stays.guest")[..], &[0, 1, 0x0c, 0, 0, 0, 10, 0, 0, 0, 1, n]].concat())
+    };
+    let counts = || [&one, &two, &three].map(|n| n.seen.lock().unwrap().len());
+    let mut n = 0;
+    let mut next = |client: &mut Client| {
+        n = (n + 1) % 200;
+        assert_eq!(
+            client.ask(1, ask(n)).body,
+            rows(&format!("page {n}")),
+            "each page is whole, and the right one"
+        );
+    };
+    until("both replicas serve pages", || {
+        next(&mut client);
+        counts()[1] > 0 && counts()[2] > 0
+    });
+    gateway.drain(1);
+    let told = Instant::now();
+    while told.elapsed() < Duration::from_millis(1500) {
+        next(&mut client);
+    }
+    let late = |at: &Instant| at.duration_since(told) > Duration::from_millis(500);
+    assert!(!two.seen.lock().unwrap().iter().any(|(at, ..)| late(at)), "the drainer got a page too late");
+    assert!(three.seen.lock().unwrap().iter().any(|(at, ..)| late(at)), "the pages went on");
+}
+
+#[test]
+fn thousands_of_writes_under_resets_and_stalls_have_no_doubled_effect() {
+    const WRITES: usize = 3000;
+    const CLIENTS: usize = 8;
+    let effects: Arc<Mutex<BTreeMap<String, usize>>> = Arc::default();
+    let turn = Arc::new(AtomicUsize::new(0));
+    let member = || {
+        let (effects, turn) = (Arc::clone(&effects), Arc::clone(&turn));
+        node(move |f, n| {
+            let text = String::from_utf8_lossy(&f.body[4..f.body.len() - 3]).into_owned();
+            let does = turn.fetch_add(1, Ordering::SeqCst) * 7919 % 100;
+            // Turned away, or lost before it was run: no effect. All else has one, whatever the client hears.
+            match does {
+                0..4 => return Does::Say(ERROR, fault(0x1001, &[])),
+                4..7 => return Does::Reset,
+                _ => *effects.lock().unwrap().entry(text).or_default() += 1,
+            }
+            match does {
+                7..12 => Does::Reset,
+                12..15 => Does::Cut,
+                15 => Does::Stall,
+                16..18 => Does::Say(ERROR, vec![0; 6]),
+                _ => served(f, n),
+            }
+        })
+        .0
+    };
+    let gateway = gateway(&[member(), member(), member()]);
+    let address = gateway.address;
+    let heard: Vec<(String, u32)> = thread::scope(|scope| {
+        let one = |c: usize| {
+            let mut client = Client::connect(address);
+            let write = |n: usize| {
+                let text = format!("INSERT INTO stays.guest (id) VALUES ({c}, {n})");
+                let answer = client.ask(i16::try_from(n).unwrap(), query(&text));
+                (text, if answer.op == RESULT { u32::MAX } else { answer.error().0 })
+            };
+            (0..WRITES / CLIENTS).map(write).collect::<Vec<_>>()
+        };
+        let threads: Vec<_> = (0..CLIENTS).map(|c| scope.spawn(move || one(c))).collect();
+        threads.into_iter().flat_map(|t| t.join().unwrap()).collect()
+    });
+    let effects = effects.lock().unwrap();
+    assert_eq!(heard.len(), WRITES);
+    assert!(effects.values().all(|n| *n == 1), "a write had its effect twice");
+    for (text, said) in &heard {
+        let ran = effects.contains_key(text);
+        match *said {
+            u32::MAX => assert!(ran, "{text} was served and has no effect"),
+            0x1001 => assert!(!ran, "{text} was refused and has an effect"),
+            code => assert!([0x0000, 0x1100].contains(&code), "{text}: {code:#x}"),
+        }
+    }
+    let count = |code| heard.iter().filter(|(_, said)| *said == code).count();
+    assert!(count(u32::MAX) > WRITES / 2 && count(0) > 100 && count(0x1100) > 5, "the troubles took place");
+}
+
+#[test]
+fn the_file_under_deploy_is_sound_and_its_contracts_know_their_statements() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/deploy/cassandra.toml");
+    let store = valehatch::config::cassandra::Store::load(path.as_ref()).unwrap();
+    let class = |text: &str| store.site.classes[store.contract(text).class].clone();
+    assert_eq!(class("  select *\n FROM stays.guest;"), "stay-read");
+    assert_eq!(class("INSERT INTO stays.guest (id) VALUES (1)"), "stay-write");
+    assert_eq!(class("SELECTED"), "unknown", "whole words only");
+    assert_eq!(class("DELETE FROM stays.guest"), "unknown");
+}
+
+#[rstest]
+#[case("listen = ", "lisn = ", "lisn")]
+#[case("need = \"any\"", "need = \"some\"", "contract.0.need")]
+#[case("budget = \"acme\"", "budget = \"other\"", "contract.0.budget")]
+#[case("deadline-ms = 500\n", "deadline-ms = 5\n", "contract.1.deadline-ms")]
+#[case("share = 1.0", "share = 7", "budget.0.share")]
+#[case("state = \"active\"", "state = \"gone\"", "member.0.state")]
+fn a_bad_file_is_told_by_its_key(#[case] good: &str, #[case] bad: &str, #[case] key: &str) {
+    let (path, text) = (folder().join("bad.toml"), file(free_address(), &[free_address()], None));
+    assert!(text.contains(good));
+    std::fs::write(&path, text.replace(good, bad)).unwrap();
+    let program = std::process::Command::new(env!("CARGO_BIN_EXE_valehatch"));
+    let out = { program }.arg("--cassandra").arg(&path).output().unwrap();
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && said.contains(key), "{said}");
+}
