Give up writes that were never sent at half their time while a primary is searched

At fault: place() in src/decide.rs held a write to its deadline (useful_until) while the search went on.

A client refused on arrival is now told to come back after an eighth of its class's aim, one refused after a wait after a quarter of the longest wait (src/core): before, a read was told to come back when its answer was worth nothing any more.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use valehatch::{
-    Action, AttemptEnd, Effect as Repeat, Entry, Event as Told, Need, NodeId, NodeState, Outcome, Request,
-    RequestId, Router, SettingsError, Span, Time,
+    Action, AttemptEnd, Entry, Event as Told, NodeId, NodeState, Outcome, Request, RequestId, Router,
+    SettingsError, Span, Time,
 };
 
 pub use turn::{Clock, run};
@@ -39,6 +39,7 @@
     ticket: u64,
     class: usize,
     tenant: Option<usize>,
+    arrived: Time,
     deadline: Time,
     payload: Arc<Payload>,
     attempts: u32,
@@ -200,7 +201,7 @@
         let open = &mut self.clients.entry(client).or_default().open;
         self.figures.count_request(ask.class, ask.tenant, now);
         if self.requests.len() >= self.facts.settings.limits.max_open {
-            let answer = Answer::Refused { after: self.facts.come_back(ask.class) };
+            let answer = Answer::Refused { after: self.facts.come_back(ask.class, Span(0)) };
             self.figures.count_outcome(ask.class, ask.tenant, Final::Refused);
             effects.push(Effect::Answer { client, ticket, answer });
             return None;
@@ -218,6 +219,7 @@
                 ticket,
                 class: ask.class,
                 tenant: ask.tenant,
+                arrived: now,
                 deadline,
                 payload: ask.payload,
                 attempts: 0,
@@ -330,7 +332,8 @@
             }
             Action::Refuse { request, retry_after } => {
                 if let Some(held) = self.requests.get(&request) {
-                    let after = retry_after.unwrap_or_else(|| self.facts.come_back(held.class));
+                    let after =
+                        retry_after.unwrap_or_else(|| self.facts.come_back(held.class, now - held.arrived));
                     self.answer(request, Answer::Refused { after }, effects);
                 }
             }
@@ -466,11 +469,13 @@
         Span(self.settings.limits.conn_idle.0 / 10 * IDLE_TENTHS)
     }
 
-    /// When a refused client should come back: nothing here is as bad for longer than an election takes.
-    fn come_back(&self, class: usize) -> Span {
+    /// When a refused client should come back, where the module leaves that open. One refused on its arrival
+    /// was turned away by chance, as part of too many: another try soon is let in as likely as not, while its
+    /// answer still counts in full. One refused after a wait found no server: what it waited for takes longer.
+    fn come_back(&self, class: usize, waited: Span) -> Span {
         let longest = self.settings.limits.max_retry_after;
         let Some(class) = self.settings.classes.get(class) else { return longest };
-        let write = class.need == Need::Write && class.effect != Repeat::Safe;
-        if write { Span(longest.0 / 4) } else { longest.min(class.aim) }
+        let soon = Span(class.aim.0 / 8);
+        if waited < soon { longest.min(soon) } else { Span(longest.0 / 4) }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -73,10 +73,8 @@
 
 /// May I use this node, by my own evidence? One rule for every kind of doubt: a lost attempt makes it
 /// suspect; silence, or a failed probe of a suspect, shuts it; an answer to an attempt opens it, and a
-/// passing probe too unless it is shut for silence (a hung process passes probes). A failed probe alone shuts
-/// nothing, nor does a refused connection: the node may be well and only full of connections. It covers
-/// crashes, hangs, cuts, losses on the way and probes that lie; it may hurt where a node hangs and yet
-/// answers now and then.
+/// passing probe too unless it is shut for silence (a hung process passes probes). A failed probe alone or a
+/// refused connection shuts nothing: the node may only be full. May hurt where it hangs but for an answer.
 #[derive(Debug, Default)]
 struct Reach {
     suspect: bool,
@@ -578,7 +576,12 @@
             Effect::Keyed(_, window) => self.now + self.cfg.tick >= from + window,
             effect => effect == Effect::Unsafe,
         });
-        let useless = self.now + expected > open.useful_until && self.now > open.arrived;
+        // Never sent by half its time for want of a primary: its client is told while it can come back.
+        let unsent = class.need == Need::Write && open.attempts == 0;
+        let sought = self.groups.get(&open.group).is_some_and(|g| g.search.is_some());
+        let half = Span((open.deadline - open.arrived).0 / 2) - self.cfg.tick;
+        let held = unsent && sought && self.now - open.arrived > half;
+        let useless = held || self.now + expected > open.useful_until && self.now > open.arrived;
         let spent = open.attempts >= self.cfg.limits.max_attempts;
         if window_over || useless || spent || shed || self.now >= open.deadline {
             self.give_up(id, actions);
@@ -653,9 +656,8 @@
             if end.outcome.from_node() {
                 node.reach.open(now);
                 node.quiet_since = Some(now);
-            } else if !matches!(end.outcome, Outcome::Moot | Outcome::Cancelled) && node.reach.shut.is_none()
-            {
-                node.reach.suspect = true;
+            } else if !matches!(end.outcome, Outcome::Moot | Outcome::Cancelled) {
+                node.reach.suspect |= node.reach.shut.is_none();
             }
             node.quiet_since = node.quiet_since.filter(|_| !node.out.is_empty());
             if node.out.is_empty() && now < self.squeezed_until {
@@ -737,8 +739,7 @@
             (self.served, self.served_at) = (self.served_now() + 1.0 / sizes, self.now);
         }
         let sample = end.latency.as_f64();
-        let mean = &mut self.class_latency[class_id.0];
-        let deviation = &mut self.class_deviation[class_id.0];
+        let (mean, deviation) = (&mut self.class_latency[class_id.0], &mut self.class_deviation[class_id.0]);
         *deviation += GAIN * ((sample - *mean).abs() - *deviation);
         *mean += GAIN * (sample - *mean);
         let kept = class.need == Need::Write && self.cfg.sessions == Sessions::Kept;
@@ -869,8 +870,7 @@
         let credit = (node.credit + allowed * since).min(allowed * rules.tip_after.as_f64());
         let granted = credit >= 1.0 || self.random() < credit;
         let Some(node) = self.nodes.get_mut(&id) else { return false };
-        node.credit = (credit - 1.0).max(0.0);
-        node.credit_at = self.now;
+        (node.credit, node.credit_at) = ((credit - 1.0).max(0.0), self.now);
         granted
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -606,3 +606,21 @@
     s.run(700);
     assert!(s.at(3).is_none() && s.refused(3));
 }
+
+#[test]
+fn a_write_never_sent_for_want_of_a_primary_is_refused_at_half_its_time() {
+    // Held to its end, it would cost its client the time in which to come back.
+    let mut cfg = settings();
+    cfg.limits.probing = false;
+    let mut s = Script::new(cfg);
+    s.list(true, (1..=2).map(|i| entry(i, i == 1, NodeState::Ready)).collect());
+    s.request(1, WRITE);
+    s.end(1, Outcome::Miss, REPLICA);
+    s.end(1, Outcome::Miss, REPLICA);
+    s.request_with(2, KEYED, 2000, None);
+    s.run(900);
+    assert!(!s.refused(2), "held while there is hope");
+    // The first leads the next round of the search: what it was told is kept, so it goes on.
+    s.run(150);
+    assert!(s.refused(2) && !s.refused(1));
+}
