--- a/src/decide.rs
+++ b/src/decide.rs
@@ -579,7 +579,7 @@
         // Never sent by half its time for want of a primary: its client is told while it can come back.
         let unsent = class.need == Need::Write && open.attempts == 0;
         let sought = self.groups.get(&open.group).is_some_and(|g| g.search.is_some());
-        let half = Span((open.deadline - open.arrived).0 / 2) - self.cfg.tick;
+        let half = Span((open.deadline - open.arrived).0 / 2 - self.cfg.tick.0 * 4);
         let held = unsent && sought && self.now - open.arrived > half;
         let useless = held || self.now + expected > open.useful_until && self.now > open.arrived;
         let spent = open.attempts >= self.cfg.limits.max_attempts;
