Tell reads that were refused after a wait to stay away for longer

Now they are told the longest wait; writes still a quarter of it, since late ones count (Facts::come_back, src/core/mod.rs). Ruled out: failed connects.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -471,11 +471,18 @@
 
     /// When a refused client should come back, where the module leaves that open. One refused on its arrival
     /// was turned away by chance, as part of too many: another try soon is let in as likely as not, while its
-    /// answer still counts in full. One refused after a wait found no server: what it waited for takes longer.
+    /// answer still counts in full. One refused after a wait found no member that could serve it, which takes
+    /// longer to pass; where a late answer is worth nothing, coming back early would only add to the load.
     fn come_back(&self, class: usize, waited: Span) -> Span {
         let longest = self.settings.limits.max_retry_after;
         let Some(class) = self.settings.classes.get(class) else { return longest };
         let soon = Span(class.aim.0 / 8);
-        if waited < soon { longest.min(soon) } else { Span(longest.0 / 4) }
+        if waited < soon {
+            longest.min(soon)
+        } else if class.late_worth > 0.0 {
+            Span(longest.0 / 4)
+        } else {
+            longest
+        }
     }
 }
