Keep the core from waiting at a planned stop and say an outage of discovery once

At fault: Clients::stop connected to its own listener on the core's thread, for up to 20 ms, and the watch logged each of its tries, 20 a second. New tests: a client that does not read holds up no one; beyond the budget of descriptors there are refusals.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -187,8 +187,11 @@
     /// Takes no more connections.
     pub fn stop(&self, bound: SocketAddr) {
         self.stopped.store(true, Ordering::Relaxed);
-        // Wakes the thread that accepts; the connection itself is of no use.
-        let _ = TcpStream::connect_timeout(&bound, Duration::from_millis(20));
+        // Wakes the thread that accepts; the connection itself is of no use. The core's thread must not wait.
+        let wake = move || drop(TcpStream::connect_timeout(&bound, Duration::from_secs(1)));
+        if let Err(e) = spawn("stop", wake) {
+            crate::log!("the listener stays open until the program ends: {e}");
+        }
     }
 }
 
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -79,15 +79,20 @@
 
     fn run(mut self, mut rev: Option<u64>) {
         let mut line: Option<BufReader<TcpStream>> = None;
-        let mut whole = true;
+        let (mut whole, mut failing) = (true, false);
         loop {
             match self.call(&mut line, rev.filter(|_| !whole)) {
                 Ok(list) => {
+                    if std::mem::take(&mut failing) {
+                        crate::log!("discovery answers again");
+                    }
                     (rev, whole) = (Some(self.take(list)), false);
                 }
                 Err(e) => {
-                    // Silence or nonsense: the list that is held goes on to hold.
-                    crate::log!("discovery: {e}");
+                    // Silence or nonsense, which is said once.
+                    if !std::mem::replace(&mut failing, true) {
+                        crate::log!("discovery: {e}; the list that is held goes on to hold");
+                    }
                     line = None;
                     sleep(PAUSE);
                 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -273,3 +273,41 @@
     let said = String::from_utf8_lossy(&out.stderr).into_owned();
     assert!(!out.status.success() && said.contains(key), "{said}");
 }
+
+#[test]
+fn a_client_that_does_not_read_holds_up_no_one() {
+    // Its answers fill every buffer on the way; the core must not wait for them.
+    let (at, _) = database("read-write", |_, q| {
+        if q.contains("x1'") { Does::Say(row(&"v".repeat(64 * 1024))) } else { Does::Say(echo(q)) }
+    });
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut deaf = Client::connect(gateway.address);
+    deaf.0.set_write_timeout(Some(Duration::from_millis(300))).unwrap();
+    // So many that its own requests stand still, too.
+    let query = message(b'Q', format!("{}\0", read(1, 5000)).as_bytes());
+    while deaf.0.write_all(&query.repeat(200)).is_ok() {}
+    let mut client = Client::connect(gateway.address);
+    for id in 2..20 {
+        assert_eq!(client.ask(&read(id, 4000)), value(&format!("x{id}")));
+    }
+}
+
+#[test]
+fn beyond_the_budget_of_descriptors_connections_are_refused_and_the_others_served() {
+    let (at, seen) = database("read-write", |_, q| {
+        std::thread::sleep(Duration::from_millis(200));
+        Does::Say(echo(q))
+    });
+    let list = target("s-00000001", at, "read-write", "active");
+    // Of 64 descriptors 32 are kept back, 16 are for clients, 16 for databases.
+    let edit = |text: String| text.replace("\"sockets\":1024", "\"sockets\":64");
+    let gateway = platform_edited(&list, 15_000, false, edit);
+    let mut clients: Vec<Client> = (0..24).map(|_| Client::connect(gateway.address)).collect();
+    clients.iter_mut().for_each(|c| c.send(&read(1, 4000)));
+    let refused =
+        |a: &Answer| matches!(a, Answer::Error(code, Some(after)) if code == "53300" && after != "0");
+    let answers: Vec<Answer> = clients.iter_mut().map(Client::answer).collect();
+    assert!(answers.iter().all(|a| refused(a) || *a == value("x1")), "{answers:?}");
+    assert!(answers.iter().filter(|a| refused(a)).count() >= 8, "{answers:?}");
+    assert!(answers.contains(&value("x1")) && seen.opened.load(Ordering::SeqCst) <= 16);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -368,11 +368,21 @@
 }
 
 pub fn platform_with(known: &str, conn_idle_ms: u32, silent: bool) -> Platform {
+    platform_edited(known, conn_idle_ms, silent, |text| text)
+}
+
+/// The same with another configuration.
+pub fn platform_edited(
+    known: &str,
+    conn_idle_ms: u32,
+    silent: bool,
+    edit: impl Fn(String) -> String,
+) -> Platform {
     let (discovery_at, discovery) = Discovery::start(known.to_owned());
     discovery.silent.store(silent, Ordering::SeqCst);
     let address = free_address();
     let path = folder().join("config.json");
-    std::fs::write(&path, config(address, discovery_at, known, conn_idle_ms)).unwrap();
+    std::fs::write(&path, edit(config(address, discovery_at, known, conn_idle_ms))).unwrap();
     let program = Program::start(&[], Some(&path), address);
     Platform { address, program, discovery }
 }
