Pass a node's own error on, and take what the machine accepted before a stop

Seen in review: a write time-out that a Cassandra node reported reached the client as a server error, because the core kept only the outcome; it now keeps the server's words of the last error (Held::word). The accepting thread ended with connections still in the listener's queue, which the protocol counts as taken: it now begins them first, and the listener stays open for 0.45 s, as connections keep coming for up to 0.4 s. A member that listens elsewhere now loses its idle connections to the old place.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,8 +16,8 @@
 pub use turn::{Clock, run};
 pub use words::*;
 
-/// After a planned stop was asked for, connections are still taken for so long.
-const STILL_TAKEN: Span = Span::from_millis(400);
+/// After a planned stop was asked for, connections are still taken for so long: they keep coming for 0.4 s.
+const STILL_TAKEN: Span = Span::from_millis(450);
 /// A final answer leaves this long before the client stops waiting.
 const HEADSTART: Span = Span::from_millis(5);
 /// How often idle connections are looked over.
@@ -44,6 +44,8 @@
     payload: Arc<Payload>,
     attempts: u32,
     last: Option<Outcome>,
+    /// What the server said of the last error.
+    word: Option<Vec<u8>>,
 }
 
 #[derive(Clone, Copy)]
@@ -169,7 +171,9 @@
         for Member { entry, address } in members {
             self.figures.note_member(&entry);
             // A draining member gets nothing new: what stands open to it unused is given back at once.
-            if entry.state != NodeState::Ready {
+            // One that listens elsewhere now is not reached over what was open to where it was.
+            let moved = self.members.get(&entry.node).is_some_and(|old| *old != address);
+            if entry.state != NodeState::Ready || moved {
                 self.close_idle(entry.node, effects);
             }
             if entry.state == NodeState::Gone {
@@ -224,6 +228,7 @@
                 payload: ask.payload,
                 attempts: 0,
                 last: None,
+                word: None,
             },
         );
         Some(Told::Request(Request {
@@ -269,11 +274,15 @@
                     None => true,
                     Some(held) => {
                         held.last = Some(reply.outcome);
-                        if let (Outcome::Ok, Some(body)) = (reply.outcome, reply.body) {
-                            self.answer(request, Answer::Served(body), effects);
-                            true
-                        } else {
-                            false
+                        match reply.body {
+                            Some(body) if reply.outcome == Outcome::Ok => {
+                                self.answer(request, Answer::Served(body), effects);
+                                true
+                            }
+                            word => {
+                                held.word = word;
+                                false
+                            }
                         }
                     }
                 };
@@ -338,9 +347,10 @@
                 }
             }
             Action::Fail { request } => {
-                if let Some(held) = self.requests.get(&request) {
-                    let failure = match held.last {
-                        Some(Outcome::Timeout | Outcome::Cancelled) => Failure::Timeout,
+                if let Some(held) = self.requests.get_mut(&request) {
+                    let failure = match (held.last, held.word.take()) {
+                        (Some(Outcome::Timeout | Outcome::Cancelled), _) => Failure::Timeout,
+                        (Some(Outcome::Error), Some(word)) => Failure::Told(word),
                         _ => Failure::Broken,
                     };
                     self.answer(request, Answer::Failed(failure), effects);
--- a/src/core/words.rs
+++ b/src/core/words.rs
@@ -42,12 +42,14 @@
 }
 
 /// How a request failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub enum Failure {
     /// No answer came in time; it may have run.
     Timeout,
     /// An error or a break; it may have run.
     Broken,
+    /// The same, in the words of the server that tried last.
+    Told(Vec<u8>),
 }
 
 /// The final answer of a request.
@@ -69,7 +71,7 @@
     pub role: Option<Role>,
     pub position: Option<Time>,
     pub report: Option<Report>,
-    /// The whole answer, where there is one.
+    /// The whole answer, where there is one; of an error, where the server's words are to be passed on.
     pub body: Option<Vec<u8>>,
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -124,7 +124,14 @@
                 }
             }
             if self.stopped.load(Ordering::Relaxed) {
-                return;
+                break;
+            }
+        }
+        // What the machine has accepted for this listener counts as taken: it is not left to a reset.
+        if listener.set_nonblocking(true).is_ok() {
+            for stream in listener.incoming().map_while(Result::ok) {
+                next += 1;
+                let _ = stream.set_nonblocking(false).and_then(|()| self.begin(ClientId(next), stream));
             }
         }
     }
--- a/src/net/cql/clients.rs
+++ b/src/net/cql/clients.rs
@@ -205,7 +205,9 @@
         let (stream, write, consistency) =
             ((ticket as u16).cast_signed(), ticket >> 16 & 1 == 1, (ticket >> 32) as u16);
         match answer {
-            Answer::Served(bytes) => Frame::from_bytes(bytes).on_stream(stream).into_bytes(),
+            Answer::Served(bytes) | Answer::Failed(Failure::Told(bytes)) => {
+                Frame::from_bytes(bytes).on_stream(stream).into_bytes()
+            }
             Answer::Refused { after } => codec::overloaded(stream, (after.0 / 1000).max(1)),
             Answer::Failed(Failure::Broken) => {
                 error(stream, code::SERVER, "the answer was lost; the request may have run", &[])
--- a/src/net/cql/servers.rs
+++ b/src/net/cql/servers.rs
@@ -181,7 +181,10 @@
             // Any node takes writes; the one that served a write is where the next ones go.
             reply.role = (judged.0 == Outcome::Ok && payload.write).then_some(Role::Primary);
         }
-        if judged.0 == Outcome::Ok {
+        // A client is told of a node's time-out or failure as the node put it.
+        if matches!(judged.0, Outcome::Ok | Outcome::Error)
+            && [op::RESULT, op::ERROR].contains(&frame.opcode())
+        {
             reply.body = Some(frame.into_bytes());
         }
         (reply, true)
--- a/src/net/pg_clients.rs
+++ b/src/net/pg_clients.rs
@@ -168,6 +168,7 @@
                 let text = "refused: nothing ran, or running it again does no harm";
                 pg::put_error(&mut out, "ERROR", "53300", text, Some(&wait));
             }
+            Answer::Failed(Failure::Told(body)) => out = body,
             Answer::Failed(Failure::Timeout) => {
                 pg::put_error(&mut out, "ERROR", "57014", "no answer in time; it may have run", None);
             }
--- a/tests/cassandra.rs
+++ b/tests/cassandra.rs
@@ -327,6 +327,12 @@
 #[case::a_known_write("INSERT INTO stays.guest (id) VALUES (1)", Does::Stall, 0x1100, true)]
 #[case::cut_short("INSERT INTO stays.guest (id) VALUES (1)", Does::Cut, 0x0000, true)]
 #[case::unknown_counts_as_an_unsafe_write("DELETE FROM stays.guest", Does::Reset, 0x0000, true)]
+#[case::a_time_out_of_the_node_s_own(
+    "INSERT INTO stays.guest (id) VALUES (1)",
+    Does::Say(ERROR, fault(0x1100, &[0, 1, 0, 0, 0, 0, 0, 0, 0, 1, 0, 6, b'S', b'I', b'M', b'P', b'L', b'E'])),
+    0x1100,
+    false
+)]
 #[case::server_error("TRUNCATE stays.guest", Does::Say(ERROR, vec![0; 6]), 0x0000, false)]
 fn a_write_that_may_have_run_fails_and_is_sent_once(
     #[case] text: &str,
