--- a/src/config/cassandra.rs
+++ b/src/config/cassandra.rs
@@ -8,8 +8,8 @@
 
 use serde::Deserialize;
 
-use super::Site;
-use crate::interface::{Entry, GroupId, KindId, NodeId, NodeState, ZoneId};
+use super::{Site, number};
+use crate::interface::{Entry, GroupId, KindId, NodeState, ZoneId};
 
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -207,7 +207,7 @@
             sockets: file.sockets,
             snmp: file.snmp.clone(),
             site: Site::new(&settings(&file))?,
-            members: file.member.iter().enumerate().map(|(n, m)| (entry(n, m), m.address)).collect(),
+            members: file.member.iter().map(|m| (entry(m), m.address)).collect(),
             contracts,
         })
     }
@@ -252,8 +252,8 @@
         if !["active", "leaving"].contains(&m.state.as_str()) {
             return Err(format!("member.{n}.state is {:?}, not active or leaving", m.state));
         }
-        if file.member[..n].iter().any(|other| other.name == m.name) {
-            return Err(format!("member.{n}.name is {:?}, as another's", m.name));
+        if file.member[..n].iter().any(|other| number(&other.name) == number(&m.name)) {
+            return Err(format!("member.{n}.name is {:?}, which cannot be told from another's", m.name));
         }
     }
     for (n, c) in file.contract.iter().enumerate() {
@@ -297,9 +297,10 @@
     Ok(())
 }
 
-fn entry(n: usize, member: &Member) -> Entry {
+fn entry(member: &Member) -> Entry {
     Entry {
-        node: NodeId(u32::try_from(n + 1).unwrap_or(u32::MAX)),
+        // By its name, so that it stays the same when others are taken out of the file.
+        node: number(&member.name),
         group: GroupId(member.group),
         zone: ZoneId(0),
         kind: KindId(0),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 
 use self::settings::WireFacts;
-use crate::interface::Settings;
+use crate::interface::{NodeId, Settings};
 
 /// What the platform tells a gateway.
 #[derive(Clone, Debug)]
@@ -49,6 +49,16 @@
     pub connect_timeout_ms: u64,
 }
 
+/// A member's number from its name, the same at every gateway and whatever else the list holds: the hexadecimal
+/// digits that the name ends in, or else a hash of it.
+#[must_use]
+pub fn number(name: &str) -> NodeId {
+    let digits = name.rsplit('-').next().filter(|h| h.len() == 8);
+    let hash = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(16_777_619);
+    let hashed = || name.bytes().fold(2_166_136_261, hash);
+    NodeId(digits.and_then(|h| u32::from_str_radix(h, 16).ok()).unwrap_or_else(hashed))
+}
+
 fn names(flat: &str, list: &str, name: &str) -> Vec<String> {
     let find =
         |key: String| flat.lines().find_map(|l| l.strip_prefix(&key)?.strip_prefix('=').map(str::to_owned));
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -39,7 +39,6 @@
     ticket: u64,
     class: usize,
     tenant: Option<usize>,
-    arrived: Time,
     deadline: Time,
     payload: Arc<Payload>,
     attempts: u32,
@@ -205,7 +204,7 @@
         let open = &mut self.clients.entry(client).or_default().open;
         self.figures.count_request(ask.class, ask.tenant, now);
         if self.requests.len() >= self.facts.settings.limits.max_open {
-            let answer = Answer::Refused { after: self.facts.come_back(ask.class, Span(0)) };
+            let answer = Answer::Refused { after: self.facts.come_back(ask.class) };
             self.figures.count_outcome(ask.class, ask.tenant, Final::Refused);
             effects.push(Effect::Answer { client, ticket, answer });
             return None;
@@ -223,7 +222,6 @@
                 ticket,
                 class: ask.class,
                 tenant: ask.tenant,
-                arrived: now,
                 deadline,
                 payload: ask.payload,
                 attempts: 0,
@@ -341,8 +339,7 @@
             }
             Action::Refuse { request, retry_after } => {
                 if let Some(held) = self.requests.get(&request) {
-                    let after =
-                        retry_after.unwrap_or_else(|| self.facts.come_back(held.class, now - held.arrived));
+                    let after = retry_after.unwrap_or_else(|| self.facts.come_back(held.class));
                     self.answer(request, Answer::Refused { after }, effects);
                 }
             }
@@ -479,20 +476,12 @@
         Span(self.settings.limits.conn_idle.0 / 10 * IDLE_TENTHS)
     }
 
-    /// When a refused client should come back, where the module leaves that open. One refused on its arrival
-    /// was turned away by chance, as part of too many: another try soon is let in as likely as not, while its
-    /// answer still counts in full. One refused after a wait found no member that could serve it, which takes
-    /// longer to pass; where a late answer is worth nothing, coming back early would only add to the load.
-    fn come_back(&self, class: usize, waited: Span) -> Span {
+    /// When a refused client should come back, where the module leaves that open. What it met, too much work or
+    /// no member that could serve it, takes a while to pass; where a late answer is worth nothing, coming back
+    /// early would only add to the load.
+    fn come_back(&self, class: usize) -> Span {
         let longest = self.settings.limits.max_retry_after;
-        let Some(class) = self.settings.classes.get(class) else { return longest };
-        let soon = Span(class.aim.0 / 8);
-        if waited < soon {
-            longest.min(soon)
-        } else if class.late_worth > 0.0 {
-            Span(longest.0 / 4)
-        } else {
-            longest
-        }
+        let late_counts = self.settings.classes.get(class).is_some_and(|c| c.late_worth > 0.0);
+        if late_counts { Span(longest.0 / 4) } else { longest }
     }
 }
--- a/src/net/cql/members.rs
+++ b/src/net/cql/members.rs
@@ -26,7 +26,8 @@
 pub fn watch(path: PathBuf, store: &Store, events: Sender<Event>) -> std::io::Result<()> {
     let _ = events.send(list(store));
     let stamp = |path: &PathBuf| std::fs::metadata(path).and_then(|m| m.modified()).ok();
-    let mut seen: Option<SystemTime> = stamp(&path);
+    // The file may have changed since it was read: the first look reads it once more.
+    let mut seen: Option<SystemTime> = None;
     crate::net::spawn("members", move || {
         loop {
             sleep(LOOK);
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -10,7 +10,7 @@
 use crossbeam_channel::Sender;
 use serde::Deserialize;
 use serde_json::Value;
-use valehatch::config::Site;
+use valehatch::config::{Site, number};
 use valehatch::{Entry, GroupId, KindId, NodeId, NodeState, ZoneId};
 
 use super::servers::place_ms;
@@ -162,10 +162,7 @@
         if let Some(id) = self.ids.get(&uid) {
             return *id;
         }
-        let hex =
-            uid.rsplit('-').next().filter(|h| h.len() == 8).and_then(|h| u32::from_str_radix(h, 16).ok());
-        let hash = |h: u32, b: u8| (h ^ u32::from(b)).wrapping_mul(16_777_619);
-        let mut id = NodeId(hex.unwrap_or_else(|| uid.bytes().fold(2_166_136_261, hash)));
+        let mut id = number(&uid);
         while self.ids.values().any(|known| *known == id) {
             id = NodeId(id.0.wrapping_add(1));
         }
