--- a/tests/cassandra.rs
+++ b/tests/cassandra.rs
@@ -482,3 +482,20 @@
     let said = String::from_utf8_lossy(&out.stderr).into_owned();
     assert!(!out.status.success() && said.contains(key), "{said}");
 }
+
+#[test]
+fn a_member_keeps_its_number_when_another_is_taken_out_of_the_file() {
+    // By its place it would take over the number, and all that is known of it, of the one before.
+    let (path, members) = (folder().join("members.toml"), [free_address(), free_address()]);
+    let text = file(free_address(), &members, None);
+    let load = |text: &str| {
+        std::fs::write(&path, text).unwrap();
+        valehatch::config::cassandra::Store::load(&path).unwrap().members
+    };
+    let both = load(&text);
+    let first = text.find("[[member]]").unwrap();
+    let second = text.rfind("[[member]]").unwrap();
+    let one = load(&(text[..first].to_owned() + &text[second..]));
+    assert_eq!(one.len(), 1);
+    assert_eq!((one[0].0.node, one[0].1), (both[1].0.node, members[1]));
+}
