--- a/src/main.rs
+++ b/src/main.rs
@@ -8,9 +8,11 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use crossbeam_channel::{Receiver, Sender, bounded};
+use signal_hook::iterator::Signals;
 use valehatch::Span;
 use valehatch::config::cassandra::{Agent, Store};
 use valehatch::config::{Gateway, Site};
@@ -22,7 +24,7 @@
 /// Events that may wait for the core; who brings more waits.
 const QUEUE: usize = 8192;
 /// Descriptors kept for everything but connections of clients and servers.
-const SPARE: usize = 64;
+const SPARE: usize = 32;
 
 /// What one front needs to serve.
 struct Parts {
@@ -35,12 +37,15 @@
     protocol: Arc<dyn Speaks>,
     inbox: (Sender<Event>, Receiver<Event>),
     snmp: Option<Agent>,
+    signals: Signals,
+    reload: Box<dyn Fn() + Send>,
 }
 
 /// Serves a front on a core of its own until it has stopped.
 fn serve(parts: Parts) -> Result<(), String> {
-    let Parts { site, sockets, seed, listen, clock, front, protocol, inbox: (events, inbox), snmp } = parts;
-    let budget = sockets - SPARE.min(sockets / 2);
+    let Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp, signals, reload } = parts;
+    let (events, inbox) = inbox;
+    let budget = sockets - SPARE.min(sockets / 4);
     let timeout = Duration::from_millis(site.connect_timeout_ms);
     let facts = Facts {
         settings: site.settings.clone(),
@@ -53,9 +58,9 @@
         net::snmp::serve(listen, community, mib).map_err(|e| format!("snmp.listen: {listen}: {e}"))?;
     }
     let mut state = State::new(facts, seed, figures).map_err(|e| e.to_string())?;
-    net::signals::watch(events.clone()).map_err(|e| format!("signals: {e}"))?;
+    net::signals::watch(signals, events.clone(), reload).map_err(|e| format!("signals: {e}"))?;
     let mut servers = Servers::new(protocol, events.clone(), clock, timeout);
-    let clients = Clients::new(front, events, budget / 2);
+    let clients = Clients::new(front, events, clock, budget / 2);
     let bound = clients.listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     log!("listens on {bound}");
     core::run(&mut state, clock, &inbox, |effect| {
@@ -73,41 +78,64 @@
     Ok(())
 }
 
+fn load(path: &str) -> Result<Gateway, String> {
+    Gateway::parse(&std::fs::read_to_string(path).map_err(|e| format!("config: {path}: {e}"))?)
+}
+
 /// The platform's front, told by the platform's JSON.
-fn platform(path: &str) -> Result<(), String> {
-    let source = std::fs::read_to_string(path).map_err(|e| format!("config: {path}: {e}"))?;
-    let Gateway { name, listen, discovery, seed, sockets, known, site } = Gateway::parse(&source)?;
+fn platform(path: &str, signals: Signals) -> Result<(), String> {
+    let Gateway { name, listen, discovery, seed, sockets, known, site } = load(path)?;
     let (clock, inbox) = (Clock::new(), bounded(QUEUE));
-    let watch = net::list::Watch::new(discovery, site.clone(), clock, inbox.0.clone());
+    let place = Arc::new(net::list::Place::new(discovery));
+    let watch = net::list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone());
     watch.start(&known).map_err(|e| format!("list: {e}"))?;
+    let path = path.to_owned();
+    // Discovery may move under way; all else is read at the start.
+    let reload = Box::new(move || match load(&path) {
+        Ok(new) => {
+            log!("config: read again, discovery is at {}", new.discovery);
+            place.set(new.discovery);
+        }
+        Err(e) => log!("{e}; what was read before goes on to hold"),
+    });
     log!("{name}: serves the platform");
     let front = Arc::new(net::pg_clients::Front { site: site.clone(), clock });
     let protocol = Arc::new(net::pg_servers::Databases { clock });
-    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp: None })
+    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp: None, signals, reload })
 }
 
 /// The Cassandra front, told by a file of the operators'.
-fn cassandra(path: &str) -> Result<(), String> {
+fn cassandra(path: &str, signals: Signals) -> Result<(), String> {
     let store = Store::load(path.as_ref())?;
     let (clock, inbox) = (Clock::new(), bounded(QUEUE));
-    net::cql::members::watch(path.into(), &store, inbox.0.clone()).map_err(|e| format!("members: {e}"))?;
+    let again = Arc::new(AtomicBool::new(false));
+    let members = net::cql::members::watch(path.into(), &store, inbox.0.clone(), Arc::clone(&again));
+    members.map_err(|e| format!("members: {e}"))?;
     let prepared = Arc::new(net::cql::Prepared::default());
     let protocol = Arc::new(net::cql::servers::Nodes::new(Arc::clone(&prepared), clock));
     let (listen, sockets) = (store.listen, store.sockets);
     let (site, snmp) = (store.site.clone(), store.snmp.clone());
     let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32;
     let front = Arc::new(net::cql::clients::Front { store, prepared });
-    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp })
+    let reload = Box::new(move || again.store(true, Ordering::Relaxed));
+    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp, signals, reload })
 }
 
 fn main() -> ExitCode {
+    let signals = match net::signals::catch() {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("valehatch: signals: {e}");
+            return ExitCode::from(2);
+        }
+    };
     let args: Vec<String> = std::env::args().skip(1).collect();
     let outcome = match (
         args.iter().map(String::as_str).collect::<Vec<_>>().as_slice(),
         std::env::var("BALANCER_CONFIG"),
     ) {
-        (["--cassandra", path], _) => cassandra(path),
-        ([], Ok(path)) => platform(&path),
+        (["--cassandra", path], _) => cassandra(path, signals),
+        ([], Ok(path)) => platform(&path, signals),
         ([], Err(_)) => Err("BALANCER_CONFIG names no configuration".into()),
         _ => Err("usage: valehatch [--cassandra FILE]; without FILE the platform is served".into()),
     };
--- a/src/net/cql/clients.rs
+++ b/src/net/cql/clients.rs
@@ -1,8 +1,7 @@
 //! Clients that speak the Cassandra native protocol: many requests at once on a connection, each answered
 //! under its stream.
 
-use std::io::{self, BufReader};
-use std::net::TcpStream;
+use std::io;
 use std::sync::Arc;
 
 use valehatch::config::cassandra::{Contract, Store};
@@ -11,7 +10,10 @@
 use super::Prepared;
 use super::codec::{self, Fault, Frame, Reader, code, error, op, put_string};
 use crate::core::{Answer, Ask, Failure, Payload};
-use crate::net::clients::{Serves, Session};
+use crate::net::clients::{Incoming, Serves, Session};
+
+/// Drivers keep a pool of connections and look after them with a heartbeat every half minute or so.
+const IDLE: Span = Span::from_millis(120_000);
 
 /// How the store's clients are spoken with.
 pub struct Front {
@@ -153,11 +155,14 @@
 }
 
 impl Serves for Front {
-    fn serve(&self, stream: &TcpStream, session: &Session, full: bool) -> io::Result<()> {
-        let mut from = BufReader::with_capacity(8192, stream);
+    fn serve(&self, from: &mut Incoming, session: &Session, full: bool) -> io::Result<()> {
         let mut started = false;
         loop {
-            let frame = match Frame::read(&mut from, false, codec::FROM_CLIENT) {
+            from.ends();
+            if !from.begins()? {
+                return Ok(());
+            }
+            let frame = match Frame::read(from, false, codec::FROM_CLIENT) {
                 Ok(frame) => frame,
                 Err(Fault::Io(e)) => return Err(e),
                 Err(Fault::Version(version, number)) => {
@@ -188,6 +193,7 @@
                 op::STARTUP => match startup_fault(&frame) {
                     None => {
                         started = true;
+                        session.stay(IDLE);
                         plain(op::READY, &[])?;
                     }
                     Some(text) => refuse(&text)?,
--- a/src/net/cql/members.rs
+++ b/src/net/cql/members.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, SystemTime};
 
@@ -21,9 +22,14 @@
     Event::List { complete: true, members: store.members.iter().map(member).collect() }
 }
 
-/// Tells the core of the members, now and whenever the file changes. Contracts and budgets stay as at the
+/// Tells the core of the members, now, whenever the file changes and when `again` is set. Contracts and budgets stay as at the
 /// start; a file that is no good changes nothing.
-pub fn watch(path: PathBuf, store: &Store, events: Sender<Event>) -> std::io::Result<()> {
+pub fn watch(
+    path: PathBuf,
+    store: &Store,
+    events: Sender<Event>,
+    again: Arc<AtomicBool>,
+) -> std::io::Result<()> {
     let _ = events.send(list(store));
     let stamp = |path: &PathBuf| std::fs::metadata(path).and_then(|m| m.modified()).ok();
     // The file may have changed since it was read: the first look reads it once more.
@@ -32,7 +38,7 @@
         loop {
             sleep(LOOK);
             let now = stamp(&path);
-            if now.is_none() || now == seen {
+            if !again.swap(false, Ordering::Relaxed) && (now.is_none() || now == seen) {
                 continue;
             }
             seen = now;
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -1,9 +1,9 @@
 //! Discovery: the list of servers, watched over HTTP.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use valehatch::config::{Site, number};
 use valehatch::{Entry, GroupId, KindId, NodeId, NodeState, ZoneId};
 
+use super::lock;
 use super::servers::place_ms;
 use crate::core::{Clock, Event, Member};
 
@@ -51,72 +52,122 @@
     mode: String,
 }
 
+/// Where discovery answers, and the connection to it that is in use: a new address ends it at once.
+pub struct Place(Mutex<(SocketAddr, Option<Arc<TcpStream>>)>);
+
+impl Place {
+    pub const fn new(address: SocketAddr) -> Self {
+        Self(Mutex::new((address, None)))
+    }
+
+    fn address(&self) -> SocketAddr {
+        lock(&self.0).0
+    }
+
+    /// Takes the watch elsewhere; the list that is held goes on to hold.
+    pub fn set(&self, address: SocketAddr) {
+        let mut held = lock(&self.0);
+        if held.0 != address {
+            held.0 = address;
+            held.1.take().into_iter().for_each(|line| drop(line.shutdown(Shutdown::Both)));
+        }
+    }
+
+    fn connect(&self) -> io::Result<Line> {
+        let address = self.address();
+        let stream = TcpStream::connect_timeout(&address, SILENCE)?;
+        stream.set_nodelay(true)?;
+        let stream = Arc::new(stream);
+        let mut held = lock(&self.0);
+        if held.0 != address {
+            return Err(io::Error::other("discovery has moved"));
+        }
+        held.1 = Some(Arc::clone(&stream));
+        Ok(Line { address, from: BufReader::new(Shared(stream)) })
+    }
+}
+
+struct Shared(Arc<TcpStream>);
+
+impl Read for Shared {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        (&*self.0).read(into)
+    }
+}
+
+/// A connection to discovery.
+struct Line {
+    address: SocketAddr,
+    from: BufReader<Shared>,
+}
+
 /// Watches the list.
 pub struct Watch {
-    pub address: SocketAddr,
-    pub site: Site,
-    pub clock: Clock,
-    pub events: Sender<Event>,
+    place: Arc<Place>,
+    site: Site,
+    clock: Clock,
+    events: Sender<Event>,
     ids: HashMap<String, NodeId>,
 }
 
 impl Watch {
-    pub fn new(address: SocketAddr, site: Site, clock: Clock, events: Sender<Event>) -> Self {
-        Self { address, site, clock, events, ids: HashMap::new() }
+    pub fn new(place: Arc<Place>, site: Site, clock: Clock, events: Sender<Event>) -> Self {
+        Self { place, site, clock, events, ids: HashMap::new() }
     }
 
     /// Takes the list as it was last held, then watches from there on.
     pub fn start(mut self, known: &Value) -> io::Result<()> {
-        let mut rev = None;
         if !known.is_null() {
             match serde_json::from_value::<List>(known.clone()) {
-                Ok(list) => rev = Some(self.take(list)),
+                Ok(list) => drop(self.take(list)),
                 Err(e) => crate::log!("config: known is not a list of servers: {e}"),
             }
         }
-        super::spawn("list", move || self.run(rev))
+        super::spawn("list", move || self.run())
     }
 
-    fn run(mut self, mut rev: Option<u64>) {
-        let mut line: Option<BufReader<TcpStream>> = None;
-        let (mut whole, mut failing) = (true, false);
+    fn run(mut self) {
+        let mut line: Option<Line> = None;
+        // Versions belong to the address that told them: elsewhere the whole list is asked for first.
+        let mut told: Option<(SocketAddr, u64)> = None;
+        let mut failing = false;
         loop {
-            match self.call(&mut line, rev.filter(|_| !whole)) {
+            let address = self.place.address();
+            line = line.filter(|l| l.address == address);
+            match self.call(&mut line, told.filter(|(at, _)| *at == address).map(|(_, rev)| rev)) {
                 Ok(list) => {
                     if std::mem::take(&mut failing) {
                         crate::log!("discovery answers again");
                     }
-                    (rev, whole) = (Some(self.take(list)), false);
+                    told = Some((address, self.take(list)));
                 }
                 Err(e) => {
+                    line = None;
+                    if self.place.address() != address {
+                        continue;
+                    }
                     // Silence or nonsense, which is said once.
                     if !std::mem::replace(&mut failing, true) {
                         crate::log!("discovery: {e}; the list that is held goes on to hold");
                     }
-                    line = None;
                     sleep(PAUSE);
                 }
             }
         }
     }
 
-    fn call(&self, line: &mut Option<BufReader<TcpStream>>, from: Option<u64>) -> io::Result<List> {
-        let stream = match line {
-            Some(stream) => stream,
-            None => {
-                let stream = TcpStream::connect_timeout(&self.address, SILENCE)?;
-                stream.set_nodelay(true)?;
-                line.insert(BufReader::new(stream))
-            }
+    fn call(&self, line: &mut Option<Line>, from: Option<u64>) -> io::Result<List> {
+        let Line { address, from: stream } = match line {
+            Some(line) => line,
+            None => line.insert(self.place.connect()?),
         };
         let (path, wait) = match from {
             None => ("/v1/servers".to_owned(), SILENCE),
             Some(rev) => (format!("/v1/servers?from={rev}&hold_ms={}", HOLD.as_millis()), HOLD + SILENCE),
         };
-        stream.get_ref().set_read_timeout(Some(wait))?;
-        let request =
-            format!("GET {path} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.address);
-        stream.get_mut().write_all(request.as_bytes())?;
+        stream.get_ref().0.set_read_timeout(Some(wait))?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
+        (&*stream.get_ref().0).write_all(request.as_bytes())?;
         let (body, keep) = read_response(stream)?;
         if !keep {
             *line = None;
@@ -125,7 +176,13 @@
     }
 
     fn take(&mut self, list: List) -> u64 {
+        // Names come and go all day: those that the list no longer holds are forgotten with it.
+        let named: HashSet<&str> = list.targets.iter().map(|t| t.uid.as_str()).collect();
+        self.ids.retain(|uid, _| !list.all || named.contains(uid.as_str()));
+        let left = |t: &&Target| t.state == "left";
+        let gone: Vec<String> = list.targets.iter().filter(left).map(|t| t.uid.clone()).collect();
         let members = list.targets.into_iter().filter_map(|t| self.member(t)).collect();
+        self.ids.retain(|uid, _| !gone.contains(uid));
         let _ = self.events.send(Event::List { complete: list.all, members });
         list.rev
     }
--- a/src/net/pg_clients.rs
+++ b/src/net/pg_clients.rs
@@ -2,14 +2,13 @@
 
 use std::collections::hash_map::DefaultHasher;
 use std::hash::{Hash, Hasher};
-use std::io::{self, BufReader, Write};
-use std::net::TcpStream;
+use std::io;
 use std::sync::Arc;
 
 use valehatch::config::Site;
 use valehatch::{GroupId, Need, SessionKey, Span};
 
-use super::clients::{Serves, Session};
+use super::clients::{Incoming, Serves, Session};
 use super::pg::{self, Opening};
 use super::servers::place_ms;
 use crate::core::{Answer, Ask, Clock, Failure, Payload};
@@ -83,12 +82,20 @@
 }
 
 impl Serves for Front {
-    fn serve(&self, stream: &TcpStream, session: &Session, full: bool) -> io::Result<()> {
-        let mut from = BufReader::with_capacity(4096, stream);
+    fn serve(&self, from: &mut Incoming, session: &Session, full: bool) -> io::Result<()> {
+        let mut wishes = 0;
         loop {
-            match pg::read_opening(&mut from) {
+            if !from.begins()? {
+                return Ok(());
+            }
+            match pg::read_opening(from) {
                 Ok(Opening::Startup) => break,
-                Ok(Opening::Encryption) => (&mut &*stream).write_all(b"N")?,
+                // Two kinds of encryption may be wished for, each once.
+                Ok(Opening::Encryption) if wishes < 2 => {
+                    wishes += 1;
+                    from.write(b"N")?;
+                }
+                Ok(Opening::Encryption) => return session.say(fatal("08P01", "no encryption is offered")),
                 Ok(Opening::Cancel) => return Ok(()),
                 Ok(Opening::Unknown(version)) => {
                     let text =
@@ -106,7 +113,11 @@
         session.say(pg::greeting())?;
         let (mut ticket, mut skipping) = (0, false);
         loop {
-            let (kind, bytes) = match pg::read_message(&mut from, pg::FROM_CLIENT) {
+            from.ends();
+            if !from.begins()? {
+                return Ok(());
+            }
+            let (kind, bytes) = match pg::read_message(from, pg::FROM_CLIENT) {
                 Ok(message) => message,
                 Err(e) => {
                     if e.kind() == io::ErrorKind::InvalidData {
@@ -121,8 +132,8 @@
                     let query = bytes.strip_suffix(b"\0").unwrap_or(&bytes);
                     match self.understand(query) {
                         Ok(_) if full => {
-                            let answer = Answer::Refused { after: self.site.settings.limits.max_retry_after };
-                            session.reply(ticket, self.encode(ticket, answer))?;
+                            let after = self.site.settings.limits.max_retry_after;
+                            return session.reply(ticket, self.encode(ticket, Answer::Refused { after }));
                         }
                         Ok(ask) => session.ask(ticket, ask)?,
                         Err(fault) => session.reply(ticket, Self::aside(query, &fault))?,
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,16 +1,28 @@
-//! The platform's signals: SIGTERM and SIGINT ask for a planned stop.
+//! The platform's signals: SIGTERM and SIGINT ask for a planned stop, SIGHUP for a look at the configuration.
 
 use crossbeam_channel::Sender;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::core::Event;
 
-/// Tells the core of a planned stop.
-pub fn watch(events: Sender<Event>) -> std::io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+/// From here on no signal ends the program; what comes before `watch` is kept for it.
+pub fn catch() -> std::io::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT, SIGHUP])
+}
+
+/// Tells the core of a planned stop; `reload` reads the configuration again, as often as that is asked for.
+pub fn watch(
+    mut signals: Signals,
+    events: Sender<Event>,
+    reload: impl Fn() + Send + 'static,
+) -> std::io::Result<()> {
     super::spawn("signals", move || {
-        for _ in signals.forever() {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                reload();
+                continue;
+            }
             crate::log!("a planned stop was asked for");
             if events.send(Event::Terminate).is_err() {
                 return;
--- a/tests/cassandra.rs
+++ b/tests/cassandra.rs
@@ -140,7 +140,7 @@
     address: SocketAddr,
     path: PathBuf,
     members: Vec<SocketAddr>,
-    _program: Program,
+    program: Program,
 }
 
 fn file(listen: SocketAddr, members: &[SocketAddr], leaving: Option<usize>) -> String {
@@ -182,7 +182,7 @@
     let (address, path) = (free_address(), folder().join("cassandra.toml"));
     std::fs::write(&path, file(address, members, None)).unwrap();
     let program = Program::start(&["--cassandra", path.to_str().unwrap()], None, address);
-    Gateway { address, path, members: members.to_vec(), _program: program }
+    Gateway { address, path, members: members.to_vec(), program }
 }
 
 impl Gateway {
@@ -499,3 +499,16 @@
     assert_eq!(one.len(), 1);
     assert_eq!((one[0].0.node, one[0].1), (both[1].0.node, members[1]));
 }
+
+#[test]
+fn sighup_reads_the_members_again_and_ends_nothing_and_a_started_connection_may_stand_idle() {
+    let (at, _) = node(served);
+    let gateway = gateway(&[at]);
+    let mut client = Client::connect(gateway.address);
+    std::thread::sleep(Duration::from_millis(2700));
+    for _ in 0..2 {
+        gateway.program.signal("HUP");
+        gateway.program.says("members were read again");
+    }
+    assert_eq!(client.ask(2, query("SELECT a")).op, RESULT);
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -299,15 +299,103 @@
         Does::Say(echo(q))
     });
     let list = target("s-00000001", at, "read-write", "active");
-    // Of 64 descriptors 32 are kept back, 16 are for clients, 16 for databases.
-    let edit = |text: String| text.replace("\"sockets\":1024", "\"sockets\":64");
-    let gateway = platform_edited(&list, 15_000, false, edit);
-    let mut clients: Vec<Client> = (0..24).map(|_| Client::connect(gateway.address)).collect();
-    clients.iter_mut().for_each(|c| c.send(&read(1, 4000)));
+    // Of 64 descriptors 16 are kept back, 24 are for clients, 24 for databases.
+    let gateway = platform_edited(&list, 15_000, false, small);
+    let ask = [Client::opening(), message(b'Q', format!("{}\0", read(1, 4000)).as_bytes())].concat();
+    let mut clients: Vec<Client> = (0..36).map(|_| Client::raw_with(gateway.address, &ask)).collect();
+    clients.iter_mut().for_each(Client::greeted);
     let refused =
         |a: &Answer| matches!(a, Answer::Error(code, Some(after)) if code == "53300" && after != "0");
     let answers: Vec<Answer> = clients.iter_mut().map(Client::answer).collect();
     assert!(answers.iter().all(|a| refused(a) || *a == value("x1")), "{answers:?}");
-    assert!(answers.iter().filter(|a| refused(a)).count() >= 8, "{answers:?}");
-    assert!(answers.contains(&value("x1")) && seen.opened.load(Ordering::SeqCst) <= 16);
+    assert!(answers.contains(&value("x1")) && seen.opened.load(Ordering::SeqCst) <= 24);
+}
+
+fn small(text: String) -> String {
+    text.replace("\"sockets\":1024", "\"sockets\":64")
+}
+
+#[test]
+fn clients_that_keep_their_connections_for_ever_make_room_for_others() {
+    // Connections that asked once and stay took every place within seconds: nobody else was served.
+    let (at, _) = database("read-write", |_, q| Does::Say(echo(q)));
+    let list = target("s-00000001", at, "read-write", "active");
+    let gateway = platform_edited(&list, 15_000, false, small);
+    let mut stay = vec![];
+    for id in 0..100 {
+        let mut client = Client::connect(gateway.address);
+        assert_eq!(client.ask(&read(id, 4000)), value(&format!("x{id}")));
+        stay.push(client);
+    }
+    let silent: Vec<Client> = (0..100).map(|_| Client::raw(gateway.address)).collect();
+    assert_eq!(Client::connect(gateway.address).ask(&read(200, 4000)), value("x200"));
+    drop(silent);
+}
+
+#[rstest]
+#[case::silent(vec![])]
+#[case::greeted(Client::opening())]
+#[case::half_a_command([Client::opening(), b"Q\0\0\x01\0/* id=".to_vec()].concat())]
+#[case::half_an_opening(Client::opening()[..9].to_vec())]
+fn a_connection_that_asks_nothing_is_closed_within_3_s(#[case] sent: Vec<u8>) {
+    let gateway = platform(&target("s-00000001", free_address(), "read-write", "active"), 15_000);
+    let mut client = Client::raw(gateway.address);
+    let began = Instant::now();
+    client.0.write_all(&sent).unwrap();
+    while read_message(&mut client.0).is_some() {}
+    assert!((1900..3000).contains(&began.elapsed().as_millis()), "{:?}", began.elapsed());
+}
+
+#[test]
+fn an_open_request_outlasts_the_idle_time_and_a_process_that_is_stopped_for_a_while() {
+    // A timed read comes back interrupted after SIGCONT, which must not pass for the connection's end.
+    let (at, seen) = database("read-write", |_, q| {
+        std::thread::sleep(Duration::from_millis(2600));
+        Does::Say(echo(q))
+    });
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    client.send(&write("once", 1, 5000));
+    until("the database has it", || seen.count() == 1);
+    gateway.program.signal("STOP");
+    std::thread::sleep(Duration::from_millis(300));
+    gateway.program.signal("CONT");
+    assert_eq!(client.answer(), value("x1"));
+}
+
+#[test]
+fn sighup_moves_the_watch_and_loses_neither_the_list_nor_a_request() {
+    let (one, first) = database("read-write", |_, q| {
+        std::thread::sleep(Duration::from_millis(600));
+        Does::Say(echo(q))
+    });
+    let (two, second) = database("read-write", |_, q| Does::Say(echo(q)));
+    let known = target("s-00000001", one, "read-write", "active");
+    let gateway = platform(&known, 15_000);
+    let mut client = Client::connect(gateway.address);
+    until("the watch runs", || gateway.discovery.watches.load(Ordering::SeqCst) > 0);
+    client.send(&write("once", 1, 4000));
+    until("the database has it", || first.count() == 1);
+    // A file that is no good changes nothing, however often it is read.
+    let good = std::fs::read_to_string(&gateway.config).unwrap();
+    std::fs::write(&gateway.config, good.replace("\"discovery\"", "\"disco\"")).unwrap();
+    (0..3).for_each(|_| gateway.program.signal("HUP"));
+    gateway.program.says("discovery is missing");
+    assert_eq!(client.answer(), value("x1"));
+    assert_eq!(client.ask(&write("once", 2, 4000)), value("x2"));
+    let (moved, new) = Discovery::start(target("s-00000002", two, "read-write", "active"));
+    let old = good.split("\"discovery\":\"").nth(1).unwrap().split('"').next().unwrap();
+    std::fs::write(&gateway.config, good.replace(old, &moved.to_string())).unwrap();
+    let told = Instant::now();
+    gateway.program.signal("HUP");
+    until("the new address is watched", || {
+        new.watches.load(Ordering::SeqCst) > 0 || {
+            let _ = client.ask(&write("once", 3, 4000));
+            second.count() > 0
+        }
+    });
+    assert!(told.elapsed() < Duration::from_secs(4), "{:?}", told.elapsed());
+    let before = first.count();
+    assert_eq!(client.ask(&write("once", 4, 4000)), value("x4"));
+    assert_eq!((first.count(), second.count() > 0), (before, true), "the old list is gone");
 }
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -21,8 +21,12 @@
     }
 }
 
+/// On an address of its own, so that no stand-in that starts meanwhile is given the same port.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a free port")
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let (n, process) = (NEXT.fetch_add(1, Ordering::Relaxed), std::process::id());
+    let address = format!("127.{}.{}.{}:0", 64 + process % 100, process / 100 % 250, 1 + n % 250);
+    TcpListener::bind(address).and_then(|l| l.local_addr()).expect("a free port")
 }
 
 /// A folder of the test's own.
@@ -34,17 +38,26 @@
     path
 }
 
-/// The gateway as a process; it is ended with the test.
-pub struct Program(pub Child);
+/// The gateway as a process, and what it logs; it is ended with the test.
+pub struct Program(pub Child, Arc<Mutex<String>>);
 
 impl Program {
     pub fn start(args: &[&str], config: Option<&PathBuf>, address: SocketAddr) -> Self {
         let mut command = Command::new(env!("CARGO_BIN_EXE_valehatch"));
-        command.args(args).env_remove("BALANCER_CONFIG").stderr(Stdio::null());
+        command.args(args).env_remove("BALANCER_CONFIG").stderr(Stdio::piped());
         if let Some(path) = config {
             command.env("BALANCER_CONFIG", path);
         }
-        let mut program = Self(command.spawn().expect("the gateway starts"));
+        let mut child = command.spawn().expect("the gateway starts");
+        let (mut errors, log) = (child.stderr.take().unwrap(), Arc::<Mutex<String>>::default());
+        let said = Arc::clone(&log);
+        thread::spawn(move || {
+            let mut some = [0; 1024];
+            while let Ok(n @ 1..) = errors.read(&mut some) {
+                said.lock().unwrap().push_str(&String::from_utf8_lossy(&some[..n]));
+            }
+        });
+        let mut program = Self(child, log);
         until("the gateway listens", || {
             assert!(program.0.try_wait().unwrap().is_none(), "the gateway ended at its start");
             TcpStream::connect(address).is_ok()
@@ -52,11 +65,20 @@
         program
     }
 
-    pub fn terminate(&self) {
-        let done = Command::new("kill").args(["-TERM", &self.0.id().to_string()]).status();
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([&format!("-{name}"), &self.0.id().to_string()]).status();
         assert!(done.unwrap().success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Waits until the log holds something.
+    pub fn says(&self, what: &str) {
+        until(what, || self.1.lock().unwrap().contains(what));
+    }
+
     pub fn ended(&mut self) -> ExitStatus {
         let mut status = None;
         until("the gateway ends", || {
@@ -222,9 +244,15 @@
         Self(stream)
     }
 
-    pub fn connect(address: SocketAddr) -> Self {
+    /// The bytes leave with the connection.
+    pub fn raw_with(address: SocketAddr, bytes: &[u8]) -> Self {
         let mut client = Self::raw(address);
-        client.0.write_all(&Self::opening()).unwrap();
+        client.0.write_all(bytes).unwrap();
+        client
+    }
+
+    pub fn connect(address: SocketAddr) -> Self {
+        let mut client = Self::raw_with(address, &Self::opening());
         client.greeted();
         client
     }
@@ -358,6 +386,7 @@
 
 pub struct Platform {
     pub address: SocketAddr,
+    pub config: PathBuf,
     pub program: Program,
     pub discovery: Arc<Discovery>,
 }
@@ -384,5 +413,5 @@
     let path = folder().join("config.json");
     std::fs::write(&path, edit(config(address, discovery_at, known, conn_idle_ms))).unwrap();
     let program = Program::start(&[], Some(&path), address);
-    Platform { address, program, discovery }
+    Platform { address, config: path, program, discovery }
 }
