--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -35,6 +35,7 @@
 }
 
 struct Held {
+    name: Option<Arc<str>>,
     client: ClientId,
     ticket: u64,
     class: usize,
@@ -72,6 +73,8 @@
     router: Router,
     facts: Facts,
     requests: BTreeMap<RequestId, Held>,
+    /// The names of the requests that are open.
+    names: BTreeSet<Arc<str>>,
     attempts: BTreeMap<(RequestId, u32), ConnId>,
     conns: BTreeMap<ConnId, Conn>,
     members: BTreeMap<NodeId, Arc<str>>,
@@ -92,6 +95,7 @@
             router: Router::new(facts.settings.clone(), seed)?,
             facts,
             requests: BTreeMap::new(),
+            names: BTreeSet::new(),
             attempts: BTreeMap::new(),
             conns: BTreeMap::new(),
             members: BTreeMap::new(),
@@ -150,7 +154,7 @@
             }
             Event::Disconnected(client) => {
                 for id in self.clients.remove(&client).unwrap_or_default().open {
-                    if let Some(held) = self.requests.remove(&id) {
+                    if let Some(held) = self.drop_request(id) {
                         self.figures.count_outcome(held.class, held.tenant, Final::Aborted);
                     }
                     told.push(Told::Aborted(id));
@@ -203,21 +207,28 @@
     ) -> Option<Told> {
         let open = &mut self.clients.entry(client).or_default().open;
         self.figures.count_request(ask.class, ask.tenant, now);
-        if self.requests.len() >= self.facts.settings.limits.max_open {
-            let answer = Answer::Refused { after: self.facts.come_back(ask.class) };
-            self.figures.count_outcome(ask.class, ask.tenant, Final::Refused);
+        let taken = ask.name.as_ref().is_some_and(|name| self.names.contains(name));
+        if taken || self.requests.len() >= self.facts.settings.limits.max_open {
+            let (how, answer) = if taken {
+                (Final::Failed, Answer::Failed(Failure::Named))
+            } else {
+                (Final::Refused, Answer::Refused { after: self.facts.come_back(ask.class) })
+            };
+            self.figures.count_outcome(ask.class, ask.tenant, how);
             effects.push(Effect::Answer { client, ticket, answer });
             return None;
         }
         self.next_request += 1;
         let id = RequestId(self.next_request);
         open.insert(id);
+        self.names.extend(ask.name.clone());
         let time_left = Span((ask.patience - HEADSTART).0.max(1));
         let deadline = now + time_left;
         self.due.insert((deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
         self.requests.insert(
             id,
             Held {
+                name: ask.name,
                 client,
                 ticket,
                 class: ask.class,
@@ -277,6 +288,10 @@
                                 self.answer(request, Answer::Served(body), effects);
                                 true
                             }
+                            Some(body) if reply.last => {
+                                self.answer(request, Answer::Failed(Failure::Told(body)), effects);
+                                true
+                            }
                             word => {
                                 held.word = word;
                                 false
@@ -453,10 +468,17 @@
         all.into_iter().for_each(|conn| self.close(conn, effects));
     }
 
+    /// Forgets a request, with all that is kept for it.
+    fn drop_request(&mut self, id: RequestId) -> Option<Held> {
+        let held = self.requests.remove(&id)?;
+        self.due.remove(&(held.deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
+        held.name.iter().for_each(|name| drop(self.names.take(name)));
+        Some(held)
+    }
+
     /// The one final answer of a request.
     fn answer(&mut self, id: RequestId, answer: Answer, effects: &mut Vec<Effect>) {
-        let Some(held) = self.requests.remove(&id) else { return };
-        self.due.remove(&(held.deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
+        let Some(held) = self.drop_request(id) else { return };
         if let Some(client) = self.clients.get_mut(&held.client) {
             client.open.remove(&id);
         }
--- a/src/core/words.rs
+++ b/src/core/words.rs
@@ -29,6 +29,8 @@
 /// A request as a front understood it.
 #[derive(Debug)]
 pub struct Ask {
+    /// What the client calls it, where clients name their requests: no two that are open share a name.
+    pub name: Option<Arc<str>>,
     pub class: usize,
     pub tenant: Option<usize>,
     pub group: GroupId,
@@ -50,6 +52,8 @@
     Broken,
     /// The same, in the words of the server that tried last.
     Told(Vec<u8>),
+    /// Its name is that of a request that is open.
+    Named,
 }
 
 /// The final answer of a request.
@@ -73,12 +77,14 @@
     pub report: Option<Report>,
     /// The whole answer, where there is one; of an error, where the server's words are to be passed on.
     pub body: Option<Vec<u8>>,
+    /// An error that every server would answer with: it is passed on, and the request is not sent again.
+    pub last: bool,
 }
 
 impl Reply {
     /// An outcome that nothing came along with.
     pub const fn bare(outcome: Outcome) -> Self {
-        Self { outcome, role: None, position: None, report: None, body: None }
+        Self { outcome, role: None, position: None, report: None, body: None, last: false }
     }
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -24,6 +24,9 @@
 const IDLE: Span = Span::from_millis(2_000);
 /// A new connection is left in peace for so long: what it asks may be on its way.
 const SETTLES: Span = Span::from_millis(100);
+/// How long, and for how many bytes, a client is listened to after the last word to it.
+const LAST_WORD: Span = Span::from_millis(300);
+const DRAINED: usize = 1024 * 1024;
 /// How often a reading thread that waits looks at the time.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -144,6 +147,18 @@
         self.0.get_ref().0.note(|g| g.reading = false);
     }
 
+    /// Takes in some of what a client still sends behind a last word, which a reset would tear away from it.
+    pub fn drain(&mut self) {
+        let until = self.0.get_ref().0.clock.now() + LAST_WORD;
+        let (mut left, mut some) = (DRAINED, [0; 4096]);
+        while left > 0 && self.0.get_ref().0.clock.now() < until {
+            match self.0.read(&mut some) {
+                Ok(n @ 1..) => left = left.saturating_sub(n),
+                _ => return,
+            }
+        }
+    }
+
     /// Writes at once, past the queue: only before anything else was said.
     pub fn write(&self, bytes: &[u8]) -> io::Result<()> {
         (&self.0.get_ref().0.stream).write_all(bytes)
--- a/src/net/cql/clients.rs
+++ b/src/net/cql/clients.rs
@@ -112,6 +112,7 @@
         session.ask(
             ticket,
             Ask {
+                name: None,
                 class: contract.class,
                 tenant: contract.tenant,
                 group: GroupId(contract.group),
@@ -215,7 +216,7 @@
                 Frame::from_bytes(bytes).on_stream(stream).into_bytes()
             }
             Answer::Refused { after } => codec::overloaded(stream, (after.0 / 1000).max(1)),
-            Answer::Failed(Failure::Broken) => {
+            Answer::Failed(Failure::Broken | Failure::Named) => {
                 error(stream, code::SERVER, "the answer was lost; the request may have run", &[])
             }
             Answer::Failed(Failure::Timeout) => {
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -3,10 +3,10 @@
 
 use std::io::{self, Read, Write};
 
-/// The longest message that a client may send.
-pub const FROM_CLIENT: usize = 256 * 1024;
-/// The longest message that a server may send.
-pub const FROM_SERVER: usize = 1024 * 1024;
+/// The longest message that a client may send: a value of 64 KiB in hexadecimal digits, and its statement.
+pub const FROM_CLIENT: usize = 160 * 1024;
+/// The longest message that a server may send: a value of 64 KiB.
+pub const FROM_SERVER: usize = 72 * 1024;
 /// The longest startup message.
 const STARTUP: usize = 10_000;
 
@@ -109,17 +109,33 @@
     to.write_all(&out)
 }
 
-/// A field of an error or a notice.
+/// A field of an error or a notice; `None` also where these are not fields up to the end.
 pub fn field(body: &[u8], name: u8) -> Option<&str> {
-    let mut parts = body.split(|b| *b == 0);
+    let fields = body.strip_suffix(b"\0\0")?;
+    let mut parts = fields.split(|b| *b == 0);
     parts.find(|p| p.first() == Some(&name)).and_then(|p| std::str::from_utf8(&p[1..]).ok())
 }
 
+/// Texts that each end with a zero byte: exactly so many, and nothing behind them.
+fn texts<const N: usize>(body: &[u8]) -> Option<[&str; N]> {
+    let text = std::str::from_utf8(body.strip_suffix(b"\0")?).ok()?;
+    text.split('\0').collect::<Vec<_>>().try_into().ok()
+}
+
 /// Name and value of a ParameterStatus.
-pub fn parameter(body: &[u8]) -> Option<(&str, &str)> {
-    let text = std::str::from_utf8(body).ok()?;
-    let mut parts = text.split('\0');
-    Some((parts.next()?, parts.next()?))
+pub fn parameter(body: &[u8]) -> Option<[&str; 2]> {
+    texts(body)
+}
+
+/// The tag of a CommandComplete.
+pub fn tag(body: &[u8]) -> Option<&str> {
+    texts(body).map(|[tag]| tag)
+}
+
+/// Whether a RowDescription describes one column.
+pub fn one_column(body: &[u8]) -> bool {
+    let name = body.strip_prefix(&[0, 1]).and_then(|rest| rest.split_at_checked(rest.len().checked_sub(18)?));
+    name.is_some_and(|(name, _)| name.iter().position(|b| *b == 0) == name.len().checked_sub(1))
 }
 
 /// The only column of a DataRow; `None` where there are more or it is null.
--- a/src/net/pg_clients.rs
+++ b/src/net/pg_clients.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use valehatch::config::Site;
-use valehatch::{GroupId, Need, SessionKey, Span};
+use valehatch::{Class, Effect, GroupId, Need, SessionKey, Span};
 
 use super::clients::{Incoming, Serves, Session};
 use super::pg::{self, Opening};
@@ -21,24 +21,38 @@
 
 impl Front {
     /// A request, or what is wrong with it.
-    #[allow(clippy::cast_possible_truncation)]
     fn understand(&self, query: &[u8]) -> Result<Ask, String> {
         let text = std::str::from_utf8(query).map_err(|_| "the query is not UTF-8")?;
         let (comment, statement) = pg::comment(text).ok_or("the query has no leading comment")?;
-        let value = |name: &str| {
-            let pairs = comment.split(',').filter_map(|p| p.trim().split_once('='));
-            pairs.filter(|(n, _)| *n == name).map(|(_, v)| v).next()
-        };
+        let pairs: Option<Vec<_>> = comment.split(',').map(|p| p.trim().split_once('=')).collect();
+        let pairs = pairs.ok_or("the comment is not made of names and values")?;
+        let mut names: Vec<_> = pairs.iter().map(|(name, _)| *name).collect();
+        names.sort_unstable();
+        if names.windows(2).any(|n| n[0] == n[1]) {
+            return Err("the comment holds a name twice".into());
+        }
+        let value = |name: &str| pairs.iter().find(|(n, _)| *n == name).map(|(_, v)| *v);
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let wanted = |name: &str| value(name).ok_or_else(|| format!("the comment has no {name}"));
+        let id = Some(wanted("id")?).filter(|id| (1..=64).contains(&id.len()));
+        let id = id.ok_or("the id is empty or longer than 64 bytes")?;
         let class = wanted("c")?;
         let class = place(&self.site.classes, class).ok_or_else(|| format!("no class {class:?} is known"))?;
-        let patience = wanted("d")?.parse::<f64>().ok().filter(|d| (0.0..=86_400_000.0).contains(d));
+        let patience = wanted("d")?.parse::<u32>().ok().filter(|d| (1..=86_400_000).contains(d));
         let patience = patience.ok_or("d is not a number of milliseconds")?;
         let group = wanted("cluster")?.parse().map_err(|_| "cluster is not a number")?;
-        let need = self.site.settings.classes[class].need;
+        let Class { need, effect, deadline, .. } = self.site.settings.classes[class];
+        let keyed = matches!(effect, Effect::Keyed(..));
+        if keyed && wanted("k")?.is_empty() {
+            return Err("the key is empty".into());
+        }
+        let verb = if need == Need::Write { "INSERT " } else { "SELECT " };
+        if statement.trim_start().get(..verb.len()).is_none_or(|s| !s.eq_ignore_ascii_case(verb)) {
+            return Err(format!("the class takes statements that begin with {verb}"));
+        }
         let session = matches!(need, Need::Write | Need::Session).then(|| quoted(statement)).flatten();
         Ok(Ask {
+            name: Some(Arc::from(id)),
             class,
             tenant: value("t").and_then(|t| place(&self.site.tenants, t)),
             group: GroupId(group),
@@ -47,7 +61,8 @@
                 key.hash(&mut hasher);
                 SessionKey(hasher.finish())
             }),
-            patience: Span((patience * 1000.0) as i64),
+            // Nobody waits for longer than the class's deadline; what would is not held for it.
+            patience: Span::from_millis(patience.into()).min(deadline),
             repeat: value("r") == Some("1"),
             wrote_at: value("after").and_then(|a| a.parse().ok()).map(|ms| place_ms(self.clock, ms)),
             payload: Arc::new(Payload { bytes: query.to_vec(), write: need == Need::Write }),
@@ -69,6 +84,9 @@
     }
 }
 
+/// Queries on a connection that may be beyond understanding before it is ended.
+const FAULTS: usize = 64;
+
 /// The first quoted text of a statement: the key that it is about.
 fn quoted(statement: &str) -> Option<&str> {
     statement.split('\'').nth(1)
@@ -81,12 +99,13 @@
     out
 }
 
-impl Serves for Front {
-    fn serve(&self, from: &mut Incoming, session: &Session, full: bool) -> io::Result<()> {
+impl Front {
+    /// Takes the opening of a session; else the last word to the client, if it is owed one.
+    fn open(from: &mut Incoming, session: &Session) -> io::Result<Result<(), Vec<u8>>> {
         let mut wishes = 0;
         loop {
             if !from.begins()? {
-                return Ok(());
+                return Ok(Err(vec![]));
             }
             match pg::read_opening(from) {
                 Ok(Opening::Startup) => break,
@@ -95,79 +114,81 @@
                     wishes += 1;
                     from.write(b"N")?;
                 }
-                Ok(Opening::Encryption) => return session.say(fatal("08P01", "no encryption is offered")),
-                Ok(Opening::Cancel) => return Ok(()),
+                Ok(Opening::Encryption) => return Ok(Err(fatal("08P01", "no encryption is offered"))),
+                Ok(Opening::Cancel) => return Ok(Err(vec![])),
                 Ok(Opening::Unknown(version)) => {
                     let text =
                         format!("protocol version {}.{} is not spoken", version >> 16, version & 0xffff);
-                    return session.say(fatal("0A000", &text));
+                    return Ok(Err(fatal("0A000", &text)));
                 }
-                Err(e) => {
-                    if e.kind() == io::ErrorKind::InvalidData {
-                        session.say(fatal("08P01", &e.to_string()))?;
-                    }
-                    return Err(e);
+                Err(e) if e.kind() == io::ErrorKind::InvalidData => {
+                    return Ok(Err(fatal("08P01", &e.to_string())));
                 }
+                Err(e) => return Err(e),
             }
         }
         session.say(pg::greeting())?;
-        let (mut ticket, mut skipping) = (0, false);
-        loop {
+        Ok(Ok(()))
+    }
+
+    /// Takes queries until the session is over; the last word to the client, if it is owed one.
+    fn talk(&self, from: &mut Incoming, session: &Session, full: bool) -> io::Result<Vec<u8>> {
+        let mut faults = 0;
+        for ticket in 0.. {
             from.ends();
             if !from.begins()? {
-                return Ok(());
+                break;
             }
             let (kind, bytes) = match pg::read_message(from, pg::FROM_CLIENT) {
                 Ok(message) => message,
-                Err(e) => {
-                    if e.kind() == io::ErrorKind::InvalidData {
-                        session.reply(ticket, fatal("54000", &e.to_string()))?;
-                    }
-                    return Err(e);
+                Err(e) if e.kind() == io::ErrorKind::InvalidData => {
+                    return Ok(fatal("54000", &e.to_string()));
                 }
+                Err(e) => return Err(e),
             };
             match kind {
-                b'Q' => {
-                    skipping = false;
-                    let query = bytes.strip_suffix(b"\0").unwrap_or(&bytes);
-                    match self.understand(query) {
-                        Ok(_) if full => {
-                            let after = self.site.settings.limits.max_retry_after;
-                            return session.reply(ticket, self.encode(ticket, Answer::Refused { after }));
-                        }
-                        Ok(ask) => session.ask(ticket, ask)?,
-                        Err(fault) => session.reply(ticket, Self::aside(query, &fault))?,
-                    }
-                    ticket += 1;
+                b'Q' => {}
+                b'X' => break,
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' | b'S' => {
+                    return Ok(fatal("0A000", "only simple queries are served"));
                 }
-                b'X' => return Ok(()),
-                b'S' => {
-                    let mut out = vec![];
-                    if !skipping {
-                        pg::put_error(&mut out, "ERROR", "0A000", "only simple queries are served", None);
-                    }
-                    skipping = false;
-                    pg::put_ready(&mut out);
-                    session.reply(ticket, out)?;
-                    ticket += 1;
+                other => {
+                    return Ok(fatal("08P01", &format!("a message of type {other:#04x} is not known")));
                 }
-                // The extended protocol: one error, then silence up to Sync.
-                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'F' => {
-                    if !skipping {
-                        let mut out = vec![];
-                        pg::put_error(&mut out, "ERROR", "0A000", "only simple queries are served", None);
-                        session.reply(ticket, out)?;
-                        ticket += 1;
-                    }
-                    skipping = true;
+            }
+            let query = bytes.strip_suffix(b"\0").unwrap_or(&bytes);
+            match self.understand(query) {
+                Ok(_) if full => {
+                    let after = self.site.settings.limits.max_retry_after;
+                    return Ok(self.encode(ticket, Answer::Refused { after }));
                 }
-                b'd' | b'c' | b'f' => {}
-                other => {
-                    let text = format!("a message of type {other:#04x} is not known");
-                    return session.reply(ticket, fatal("08P01", &text));
+                Ok(ask) => session.ask(ticket, ask)?,
+                Err(fault) => {
+                    let word = Self::aside(query, &fault);
+                    faults += usize::from(word.starts_with(b"E"));
+                    if faults > FAULTS {
+                        return Ok(fatal("08P01", "too much on this connection could not be understood"));
+                    }
+                    session.reply(ticket, word)?;
                 }
             }
         }
+        Ok(vec![])
+    }
+}
+
+impl Serves for Front {
+    fn serve(&self, from: &mut Incoming, session: &Session, full: bool) -> io::Result<()> {
+        let last = match Self::open(from, session)? {
+            Ok(()) => self.talk(from, session, full)?,
+            Err(word) => word,
+        };
+        if !last.is_empty() {
+            crate::log!("a client is turned away: {}", pg::field(&last[5..], b'M').unwrap_or_default());
+            session.say(last)?;
+            from.drain();
+        }
+        Ok(())
     }
 
     fn encode(&self, _ticket: u64, answer: Answer) -> Vec<u8> {
@@ -183,6 +204,9 @@
             Answer::Failed(Failure::Timeout) => {
                 pg::put_error(&mut out, "ERROR", "57014", "no answer in time; it may have run", None);
             }
+            Answer::Failed(Failure::Named) => {
+                pg::put_error(&mut out, "ERROR", "42710", "a request with this id is open", None);
+            }
             Answer::Failed(Failure::Broken) => {
                 pg::put_error(&mut out, "ERROR", "58000", "the answer was lost; it may have run", None);
             }
--- a/src/net/pg_servers.rs
+++ b/src/net/pg_servers.rs
@@ -1,68 +1,111 @@
 //! Databases that speak PostgreSQL's protocol.
 
-use std::io::{BufReader, Read};
+use std::io::{self, BufReader, ErrorKind, Read};
 use std::net::TcpStream;
+use std::time::Duration;
 
-use valehatch::{Outcome, Report, Role};
+use valehatch::{Outcome, Report, Role, Span, Time};
 
 use super::pg;
 use super::servers::{Speaks, place_ms};
 use crate::core::{Clock, Job, Reply};
 
+/// How long an answer that has begun may stand still.
+const STALL: Duration = Duration::from_millis(400);
+/// How far positions may lie ahead of this machine's clock, and how far back.
+const AHEAD: Span = Span::from_millis(1_000);
+const DAY: Span = Span::from_millis(86_400_000);
+
 /// How the platform's databases are spoken to.
 pub struct Databases {
     pub clock: Clock,
 }
 
 impl Databases {
-    /// `x0=1767225600.1,x1=1,busy=0.61,rif=7`: by name, in any order; a position is in Unix seconds.
-    fn report(&self, text: &str, names: &[&str]) -> Option<Report> {
-        let value = |name: &str| {
-            let mut pairs = text.split(',').filter_map(|p| p.split_once('='));
-            pairs.find(|(n, _)| n.trim() == name)?.1.trim().parse::<f64>().ok()
-        };
+    /// `x0=1767225600.1,x1=1,busy=0.61,rif=7`: by name, in any order; a position is in Unix seconds. A report
+    /// of which any part cannot be read, or cannot be, tells nothing: it is not taken for zeros.
+    fn report(&self, text: &str) -> Option<Report> {
         let mut out = Report::default();
-        let named = |one: &str| names.contains(&one).then(|| value(one)).flatten();
-        out.position = named("x0").map(|s| place_ms(self.clock, s * 1000.0));
-        out.primary = named("x1").map(|v| v > 0.0);
-        out.busy = named("busy").or_else(|| named("util"));
+        for pair in text.split(',') {
+            let (name, value) = pair.split_once('=')?;
+            let value = value.trim().parse::<f64>().ok().filter(|v| v.is_finite())?;
+            match name.trim() {
+                "x0" => out.position = Some(self.position(value * 1000.0)?),
+                "x1" => out.primary = Some(value > 0.0),
+                "busy" | "util" if (0.0..=1000.0).contains(&value) => out.busy = Some(value),
+                "busy" | "util" => return None,
+                _ => {}
+            }
+        }
         (out != Report::default()).then_some(out)
     }
 
-    const NAMES: [&str; 4] = ["x0", "x1", "busy", "util"];
+    /// A position in Unix milliseconds: one that lies ahead, or a day back, is none.
+    fn position(&self, ms: f64) -> Option<Time> {
+        let (at, now) = (place_ms(self.clock, ms), self.clock.now());
+        (at <= now + AHEAD && at >= now - DAY).then_some(at)
+    }
 
-    /// Reads up to ReadyForQuery; what this answer told is all that counts.
+    /// Reads up to ReadyForQuery. What does not fit, in itself or in its place, spoils the answer: it may have
+    /// run, nothing of it counts, and its connection is of no further use.
     fn read(&self, from: &mut impl Read, job: &Job) -> (Reply, bool) {
+        let spoilt = |what: &str| {
+            crate::log!("a database's answer is spoilt: {what}");
+            (Reply::bare(Outcome::Error), false)
+        };
         let mut reply = Reply::bare(Outcome::Reset);
         let (mut body, mut row, mut whole) = (vec![], None, false);
-        // Half an answer is none; one that was whole, or an error, counts though the end is missing.
-        while let Ok((kind, bytes)) = pg::read_message(from, pg::FROM_SERVER) {
+        loop {
+            let (kind, bytes) = match pg::read_message(from, pg::FROM_SERVER) {
+                Ok(message) => message,
+                // Half an answer is none; one that was whole, or an error, counts though the end is missing.
+                Err(e) if e.kind() == ErrorKind::UnexpectedEof || e.kind() == ErrorKind::ConnectionReset => {
+                    return (self.finish(reply, whole, row, body, job), false);
+                }
+                Err(e) => return spoilt(&e.to_string()),
+            };
+            let failed = reply.outcome != Outcome::Reset;
             match kind {
-                b'T' | b'D' | b'C' => {
-                    if kind == b'D' {
-                        row = pg::column(&bytes).map(<[u8]>::to_vec);
-                    }
-                    whole |= kind == b'C' && row.is_some();
-                    pg::put(&mut body, kind, &[&bytes]);
+                b'T' if body.is_empty() && !failed && pg::one_column(&bytes) => {}
+                b'D' if !body.is_empty() && row.is_none() && !failed => match pg::column(&bytes) {
+                    Some(value) => row = Some(value.to_vec()),
+                    None => return spoilt("a row that is not one column"),
+                },
+                b'C' if row.is_some()
+                    && !whole
+                    && !failed
+                    && pg::tag(&bytes).is_some_and(|t| fits(t, job)) =>
+                {
+                    whole = true;
+                }
+                b'E' if !whole && !failed => {
+                    let Some(code) = pg::field(&bytes, b'C').filter(|c| c.len() == 5) else {
+                        return spoilt("an error without a code");
+                    };
+                    // Behind the beginning of a row it proves nothing.
+                    reply.outcome = if body.is_empty() { outcome(code) } else { Outcome::Error };
+                    reply.last = body.is_empty() && faulty(code);
                 }
-                b'E' => reply.outcome = outcome(pg::field(&bytes, b'C').unwrap_or_default()),
                 b'S' => match pg::parameter(&bytes) {
-                    Some(("mode", "read-write")) => reply.role = Some(Role::Primary),
-                    Some(("mode", "read-only")) => reply.role = Some(Role::Replica),
-                    Some(("wal_time", at)) => {
-                        reply.position = at.parse().ok().map(|ms| place_ms(self.clock, ms));
+                    Some(["mode", "read-write"]) => reply.role = Some(Role::Primary),
+                    Some(["mode", "read-only"]) => reply.role = Some(Role::Replica),
+                    Some(["wal_time", at]) => {
+                        reply.position = at.parse().ok().and_then(|at| self.position(at))
                     }
-                    Some(("stats", text)) => reply.report = self.report(text, &Self::NAMES),
-                    _ => {}
+                    Some(["stats", text]) => reply.report = self.report(text),
+                    Some(_) => {}
+                    None => return spoilt("a parameter that cannot be read"),
                 },
-                b'Z' => {
-                    let settled = whole || reply.outcome != Outcome::Reset;
-                    return (self.finish(reply, whole, row, body, job), settled);
+                b'N' => {}
+                b'Z' if bytes == b"I" && (whole || failed) => {
+                    return (self.finish(reply, whole, row, body, job), true);
                 }
-                _ => {}
+                other => return spoilt(&format!("a message of type {other:#04x} out of place")),
+            }
+            if matches!(kind, b'T' | b'D' | b'C') || reply.last && kind == b'E' {
+                pg::put(&mut body, kind, &[&bytes]);
             }
         }
-        (self.finish(reply, whole, row, body, job), false)
     }
 
     fn finish(&self, mut reply: Reply, whole: bool, row: Option<Vec<u8>>, body: Vec<u8>, job: &Job) -> Reply {
@@ -72,14 +115,29 @@
                 Job::Run { .. } => reply.body = Some(body),
                 Job::Probe => {
                     let text = row.and_then(|r| String::from_utf8(r).ok());
-                    reply.report = text.and_then(|t| self.report(&t, &Self::NAMES)).or(reply.report);
+                    reply.report = text.and_then(|t| self.report(&t)).or(reply.report);
                 }
             }
+        } else if reply.last {
+            reply.body = Some(body);
         }
         reply
     }
 }
 
+/// Whether a tag is that of what was asked: a row and a probe are told by others.
+fn fits(tag: &str, job: &Job) -> bool {
+    match job {
+        Job::Run { payload, .. } => tag.starts_with(if payload.write { "INSERT " } else { "SELECT " }),
+        Job::Probe => true,
+    }
+}
+
+/// Whether an error's code says that the statement itself is at fault, which every database would say.
+fn faulty(code: &str) -> bool {
+    ["08P01", "0A"].iter().any(|c| code.starts_with(c)) || code.starts_with("42")
+}
+
 /// What an error's code says of the attempt.
 fn outcome(code: &str) -> Outcome {
     match code {
@@ -119,6 +177,30 @@
     }
 
     fn answer(&self, stream: &TcpStream, job: &Job, _sent: &[u8]) -> (Reply, bool) {
-        self.read(&mut BufReader::with_capacity(4096, stream), job)
+        let mut from = BufReader::with_capacity(4096, Answer { stream, begun: false, timed: false });
+        let (reply, settled) = self.read(&mut from, job);
+        // What came along behind the answer would be taken for the next one.
+        let alone = settled && from.buffer().is_empty();
+        let untimed = !from.get_ref().timed || stream.set_read_timeout(None).is_ok();
+        (reply, alone && untimed)
+    }
+}
+
+/// An answer may take its time to begin; once it has, it comes without a stop or is spoilt.
+struct Answer<'a> {
+    stream: &'a TcpStream,
+    begun: bool,
+    timed: bool,
+}
+
+impl Read for Answer<'_> {
+    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
+        if self.begun && !self.timed {
+            self.stream.set_read_timeout(Some(STALL))?;
+            self.timed = true;
+        }
+        let got = { self.stream }.read(into);
+        self.begun |= got.is_ok();
+        got
     }
 }
