--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -378,7 +378,6 @@
                 self.wait_until(conn, now + self.facts.probe_timeout);
                 effects.push(Effect::Submit { conn, job: Job::Probe });
             }
-            Action::CloseIdle { node } => self.close_idle(node, effects),
             Action::Subscribe => {} // The list is watched all the time.
             Action::SetTimer { at, token } => {
                 self.due.insert((at, Due::Router(token)));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,5 +1,4 @@
-//! The decisions. Every rule, table and tuned value of the library stands in this file; its vocabulary (ids,
-//! times, settings, events, actions) is in `src/interface.rs`, and `docs/DESIGN.md` tells why it is so.
+//! The decisions: every rule, table and tuned value. `docs/DESIGN.md` tells why they are so.
 //!
 //! One remembered primary per group is learned from misses and roles; one write searches the members while
 //! the group's others wait; held writes are resent to the primary found; other reads go by two choices among
@@ -30,8 +29,8 @@
 const SLOW_PART: f64 = 0.33;
 /// Mean part of the aim that answers take from which on some requests are refused, and where all would be.
 const STRAIN: (f64, f64) = (0.4, 0.7);
-/// A client's repeat has spent part of its aim already; how much is not told.
-const REPEAT_WORTH: f64 = 0.5;
+/// A query that takes more than this part of the tightest bound on age is long.
+const LONG_PART: f64 = 0.7;
 
 type Attempt = (RequestId, u32);
 type Sent = (Time, ClassId, Option<SessionKey>);
@@ -55,7 +54,6 @@
     out: BTreeMap<Attempt, Sent>,
     /// When it last spoke while something was out there.
     quiet_since: Option<Time>,
-    /// Attempts it may have at once.
     limit: f64,
     reach: Reach,
     /// Attempts it may get while cold, as of a time.
@@ -71,15 +69,13 @@
     }
 }
 
-/// May I use this node, by my own evidence? One rule for every kind of doubt: a lost attempt makes it
-/// suspect; silence, or a failed probe of a suspect, shuts it; an answer to an attempt opens it, and a
-/// passing probe too unless it is shut for silence (a hung process passes probes). A failed probe alone or a
-/// refused connection shuts nothing: the node may only be full. May hurt where it hangs but for an answer.
+/// May I use this node, by my own evidence? A lost attempt makes it suspect; silence, or a failed probe of a
+/// suspect, shuts it; an answer to an attempt opens it, and a passing probe too unless it is shut for silence
+/// (a hung process passes probes). A failed probe alone or a refused connection shuts nothing.
 #[derive(Debug, Default)]
 struct Reach {
     suspect: bool,
     shut: Option<Shut>,
-    /// When a shut node may be tried again.
     again: Time,
     /// When it came back from out of reach: it may have started anew, long before the list says so.
     revived: Option<Time>,
@@ -142,7 +138,6 @@
     avoid: BTreeSet<NodeId>,
     not_before: Time,
     probe_wait: Option<Time>,
-    repeat: bool,
     streaming: bool,
 }
 
@@ -161,8 +156,6 @@
     /// Answers of warm nodes of late for their size, fading over the time in which a node gets warm.
     served: f64,
     served_at: Time,
-    /// Nodes seem to be short of connections until then.
-    squeezed_until: Time,
     /// Worth for its work of what comes in.
     usual_value: f64,
     class_deviation: Vec<f64>,
@@ -193,7 +186,6 @@
             session_floor: None,
             served: 0.0,
             served_at: Time(i64::MIN),
-            squeezed_until: Time(i64::MIN),
             usual_value: 0.0,
             class_deviation: cfg.classes.iter().map(|c| c.aim.as_f64() / 8.0).collect(),
             class_latency: cfg.classes.iter().map(|c| c.aim.as_f64() / 4.0).collect(),
@@ -226,6 +218,8 @@
         actions.extend(self.ask_at.take_if(|at| *at <= now).map(|_| Action::Subscribe));
         self.tend_health(actions);
         let wanted = |(id, g): (&GroupId, &Group)| (!g.waiting.is_empty()).then_some(*id);
+        // Any number may come from a client: a group that holds nothing is forgotten.
+        self.groups.retain(|_, g| !(g.members.is_empty() && g.waiting.is_empty()));
         for group in self.groups.iter().filter_map(wanted).collect::<Vec<_>>() {
             self.tend_search(group, actions);
             self.tend_waiting(group, actions);
@@ -341,10 +335,6 @@
         if outcome == Outcome::Ok {
             self.probe_latency += GAIN * (latency.as_f64() - self.probe_latency);
             if node.reach.shut != Some(Shut::Silent) {
-                // Well, and yet an attempt got lost: connections may be too few.
-                if node.reach.suspect {
-                    self.squeezed_until = now + self.cfg.limits.conn_idle;
-                }
                 node.reach.open(now);
             }
             report.into_iter().for_each(|r| self.on_report(id, r));
@@ -505,7 +495,6 @@
             arrived: self.now,
             deadline,
             useful_until: if late_counts { deadline } else { aim.min(deadline) },
-            repeat: request.repeat,
             floor,
             not_before: self.now,
             ..Open::default()
@@ -552,8 +541,7 @@
 
     /// Worth for its work.
     fn value(&self, open: &Open) -> f64 {
-        let part = if open.repeat { REPEAT_WORTH } else { 1.0 };
-        self.cfg.classes[open.class.0].worth * part / self.class_latency[open.class.0]
+        self.cfg.classes[open.class.0].worth / self.class_latency[open.class.0]
     }
 
     fn rank(&self, id: RequestId) -> (i64, i64) {
@@ -576,11 +564,9 @@
             Effect::Keyed(_, window) => self.now + self.cfg.tick >= from + window,
             effect => effect == Effect::Unsafe,
         });
-        // Never sent by half its time for want of a primary: its client is told while it can come back.
-        let unsent = class.need == Need::Write && open.attempts == 0;
-        let sought = self.groups.get(&open.group).is_some_and(|g| g.search.is_some());
+        // Never sent by half its time: its client is told while it can come back.
         let half = Span((open.deadline - open.arrived).0 / 2 - self.cfg.tick.0 * 4);
-        let held = unsent && sought && self.now - open.arrived > half;
+        let held = open.attempts == 0 && self.now - open.arrived > half;
         let useless = held || self.now + expected > open.useful_until && self.now > open.arrived;
         let spent = open.attempts >= self.cfg.limits.max_attempts;
         if window_over || useless || spent || shed || self.now >= open.deadline {
@@ -660,9 +646,6 @@
                 node.reach.suspect |= node.reach.shut.is_none();
             }
             node.quiet_since = node.quiet_since.filter(|_| !node.out.is_empty());
-            if node.out.is_empty() && now < self.squeezed_until {
-                actions.push(Action::CloseIdle { node: end.node });
-            }
             // A primary stood at the present when it answered, so at least where it was when this was sent.
             let told = if end.role == Some(Role::Primary) { sent } else { None };
             let stamped = end.position.map(|p| p - Span::from_millis(1));
@@ -772,13 +755,34 @@
     fn fresh(&self, id: NodeId, need: Option<Time>) -> bool {
         let (Some(need), Some(node)) = (need, self.nodes.get(&id)) else { return need.is_none() };
         let lag = faded(node.lag.as_f64(), self.now - node.told_at, self.cfg.rules.cold);
-        let guess = self.cfg.checks != Checks::Off && self.now - Span(1).times(lag) >= need;
+        let bears = self.groups.get(&node.group).is_some_and(|g| self.bearer(g) == Some(id));
+        let guess = self.cfg.checks != Checks::Off && !bears && self.now - Span(1).times(lag) >= need;
         guess || node.position.is_some_and(|p| p >= need)
     }
 
+    /// Departure: while a replica holds a long query it applies nothing, so those of a group all go to one of
+    /// its replicas, the last in sorted order at every router, and the others stay fresh.
+    fn long(&self, class: ClassId) -> bool {
+        let bound =
+            |c: &Class| if let Need::Bounded(b) = c.need { Some(b.times(LONG_PART).as_f64()) } else { None };
+        let tightest = self.cfg.classes.iter().filter_map(bound).reduce(f64::min);
+        self.cfg.classes[class.0].need == Need::Any
+            && tightest.is_some_and(|b| self.class_latency[class.0] > b)
+    }
+
+    fn bearer(&self, group: &Group) -> Option<NodeId> {
+        let mut replicas = group.members.iter().filter(|n| group.primary != Some(**n) && self.takes(**n));
+        replicas.next_back().filter(|_| replicas.next().is_some()).copied()
+    }
+
     fn target_of_read(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Option<NodeId> {
         let open = self.open.get(&id)?;
         let group_id = open.group;
+        let (group, waited) = (self.groups.get(&group_id)?, self.now - open.arrived);
+        let alone = self.long(open.class) && waited < self.cfg.classes[open.class.0].aim.times(SLOW_PART);
+        if let Some(bearer) = self.bearer(group).filter(|n| alone && !open.avoid.contains(n)) {
+            return self.grants(bearer, 0.0).then_some(bearer);
+        }
         let need = Self::needed(&self.cfg.classes[open.class.0], open.floor, self.now);
         let (probe_wait, avoid) = (open.probe_wait, open.avoid.clone());
         let group = self.groups.get(&group_id)?;
@@ -857,9 +861,8 @@
     }
 
     /// Departure: a cold node gets at most its share of what this router sends to the warm ones. The danger
-    /// is the sum over hundreds of routers, none of which is due a whole attempt: credit accrues in fractions
-    /// and a fraction is a chance, so that all of them add up to the budget however the traffic is spread.
-    /// Acts on reads, writes, searches and trials alike. May hurt a write whose primary is cold.
+    /// is the sum over all routers, none of which may be due a whole attempt: credit accrues in fractions and
+    /// a fraction is a chance. Acts on all that is sent. May hurt a write whose primary is cold.
     fn cold_draw(&mut self, id: NodeId) -> bool {
         let rules = &self.cfg.rules;
         let Some(node) = self.nodes.get(&id) else { return false };
@@ -898,8 +901,7 @@
         }
     }
 
-    /// Looks again when the next thing is due: soon while something waits, else when an attempt that is out
-    /// would count as silent.
+    /// Looks again soon while something waits, else when what is out would count as silence.
     fn set_timer(&mut self, actions: &mut Vec<Action>) {
         let waits = self.groups.values().any(|g| !g.waiting.is_empty());
         let soon = waits.then(|| self.now + Span(self.cfg.tick.0 * 2));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -471,11 +471,6 @@
         /// The node.
         node: NodeId,
     },
-    /// Give back the connections to a node that carry nothing now.
-    CloseIdle {
-        /// The node.
-        node: NodeId,
-    },
     /// Subscribe to the list.
     Subscribe,
     /// Set a timer.
