Serve on after SIGTERM until the platform's kill is near, and draw failing nodes seldom

Cause: Due::Stop closed idle connections at once though clients use those they have for as long as these stay open; draw() knew no failures. Ruled out: refused reload, lost list (the whole list came from the new address within a second), limits of descriptors (202 of 384). The share of failed answers of late lowers a node's part in the draw.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,14 @@
 
 /// After a planned stop was asked for, connections are still taken for so long: they keep coming for 0.4 s.
 const STILL_TAKEN: Span = Span::from_millis(450);
+/// The platform kills a program that has not ended by its longest deadline, cut to this, and so much more.
+const LONGEST: Span = Span::from_millis(3_000);
+const MORE: Span = Span::from_millis(700);
+/// The part of that time, in tenths, in which connections that clients have are still served: they use them
+/// for as long as these stay open, and the other gateways may be down as well.
+const SERVED_TENTHS: i64 = 9;
+/// What is still open so long before the end is given up.
+const LAST_WORD: Span = Span::from_millis(250);
 /// A final answer leaves this long before the client stops waiting.
 const HEADSTART: Span = Span::from_millis(5);
 /// How often idle connections are looked over.
@@ -31,7 +39,9 @@
     Attempt(ConnId),
     Overdue(RequestId),
     Sweep,
+    Unlisten,
     Stop,
+    End,
 }
 
 struct Held {
@@ -164,7 +174,11 @@
                 told.extend(self.on_reply(now, conn, reply, reusable, effects));
             }
             Event::Terminate => {
-                self.due.insert((now + STILL_TAKEN, Due::Stop));
+                let longest = self.facts.settings.classes.iter().map(|c| c.deadline).max();
+                let end = longest.unwrap_or(LONGEST).min(LONGEST) + MORE;
+                let served = Span(end.0 / 10 * SERVED_TENTHS).max(STILL_TAKEN);
+                let all = [(STILL_TAKEN, Due::Unlisten), (served, Due::Stop), (end - LAST_WORD, Due::End)];
+                self.due.extend(all.map(|(after, what)| (now + after, what)));
             }
         }
     }
@@ -337,9 +351,17 @@
                 }
                 self.due.insert((now + SWEEP, Due::Sweep));
             }
-            Due::Stop => {
-                self.stopped = true;
-                effects.push(Effect::StopListening);
+            Due::Unlisten => effects.push(Effect::StopListening),
+            Due::Stop => self.stopped = true,
+            Due::End => {
+                for id in self.requests.keys().copied().collect::<Vec<_>>() {
+                    let held = &self.requests[&id];
+                    let after = self.facts.come_back(held.class);
+                    let never = Answer::Refused { after };
+                    let answer = if held.attempts == 0 { never } else { Answer::Failed(Failure::Timeout) };
+                    self.answer(id, answer, effects);
+                    told.push(Told::Aborted(id));
+                }
             }
         }
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -50,11 +50,12 @@
     /// How old the position was as last told (after a miss: twice what that shows), and when.
     lag: Span,
     told_at: Time,
-    /// With the time of sending, the class and the session.
     out: BTreeMap<Attempt, Sent>,
     /// When it last spoke while something was out there.
     quiet_since: Option<Time>,
     limit: f64,
+    /// The share of its answers of late that were errors or broke off.
+    faults: f64,
     reach: Reach,
     /// Attempts it may get while cold, as of a time.
     credit: f64,
@@ -105,7 +106,6 @@
     leader: Option<(RequestId, NodeId, Time)>,
     tried: BTreeSet<NodeId>,
     pause_until: Option<Time>,
-    /// When members may be asked for their role next.
     ask_at: Time,
 }
 
@@ -129,7 +129,6 @@
     arrived: Time,
     deadline: Time,
     useful_until: Time,
-    /// A session read's position.
     floor: Option<Time>,
     attempts: u32,
     out: BTreeMap<u32, NodeId>,
@@ -322,7 +321,7 @@
         let since = node.probed_at.map(|at| self.now - at);
         let helps = self.now - node.lag >= need;
         // A report is as old as its refreshing makes it: asking sooner than half of that tells nothing new.
-        let gap = if helps { Span(node.lag.0 / 2) } else { node.lag };
+        let gap = Span(node.lag.0 / if helps { 2 } else { 4 });
         if since.is_none_or(|s| s >= gap.max(self.cfg.tick)) {
             self.probe(id, actions);
         }
@@ -539,7 +538,6 @@
         self.random() < (over * (self.usual_value / value).powi(2)).min(1.0 - GAIN)
     }
 
-    /// Worth for its work.
     fn value(&self, open: &Open) -> f64 {
         self.cfg.classes[open.class.0].worth / self.class_latency[open.class.0]
     }
@@ -694,6 +692,8 @@
     fn measure(&mut self, end: &AttemptEnd, class_id: ClassId, key: Option<SessionKey>) {
         let class = &self.cfg.classes[class_id.0];
         let Some(node) = self.nodes.get_mut(&end.node) else { return };
+        let fault = f64::from(u8::from(matches!(end.outcome, Outcome::Error | Outcome::Reset)));
+        node.faults += GAIN * (fault - node.faults);
         let slow = end.latency > class.aim.times(SLOW_PART);
         let full = if end.outcome == Outcome::Full { STRAIN.1 } else { 0.0 };
         let part = (end.latency.as_f64() / class.aim.as_f64()).clamp(full, 2.0);
@@ -825,11 +825,12 @@
         Some(if load(second) < load(first) { second } else { first })
     }
 
-    /// Draws by what a node can do: its listed size and the part of it that is warm.
+    /// Draws by what a node can do: its size, the warm part of it, how seldom it fails. Failing is quick and
+    /// leaves little in flight, so that such a node would draw ever more.
     fn draw(&mut self, from: &[NodeId]) -> Option<NodeId> {
         let part = |id: &NodeId| {
             let node = &self.nodes[id];
-            node.weight * self.warm_part(node).unwrap_or(1.0)
+            node.weight * self.warm_part(node).unwrap_or(1.0) * (1.0 - node.faults).powi(4).max(GAIN.powi(2))
         };
         let parts: Vec<f64> = from.iter().map(part).collect();
         let mut at = self.random() * parts.iter().sum::<f64>();
@@ -915,7 +916,6 @@
     }
 }
 
-/// What is left of an amount after a time.
 fn faded(amount: f64, after: Span, over: Span) -> f64 {
     amount * (-after.as_f64() / over.as_f64()).exp()
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -207,7 +207,7 @@
 }
 
 #[test]
-fn a_planned_stop_answers_all_closes_what_is_idle_and_ends() {
+fn a_planned_stop_serves_on_answers_all_closes_what_is_idle_and_ends() {
     let (at, seen) = database("read-write", |_, q| {
         std::thread::sleep(Duration::from_millis(if q.contains("x1'") { 1200 } else { 0 }));
         Does::Say(echo(q))
@@ -220,8 +220,28 @@
     gateway.program.terminate();
     let mut late = Client::connect(gateway.address);
     assert_eq!(late.ask(&read(2, 4000)), value("x2"), "new connections are still taken");
-    assert_eq!(idle.answer(), Answer::Ended, "closed between requests");
+    let told = Instant::now();
     assert_eq!(busy.answer(), value("x1"));
+    // The other gateways may be down as well: connections that clients have go on to be served.
+    while told.elapsed() < Duration::from_millis(2500) {
+        assert_eq!(late.ask(&read(3, 4000)), value("x3"));
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(idle.answer(), Answer::Ended, "closed between requests");
+    assert_eq!(late.answer(), Answer::Ended);
+    assert!(gateway.program.ended().success());
+    assert!(told.elapsed() < Duration::from_millis(3700), "the platform would kill it: {:?}", told.elapsed());
+}
+
+#[test]
+fn what_is_open_when_the_platform_is_about_to_kill_the_program_is_answered_before() {
+    let (at, seen) = database("read-write", |_, _| Does::Stall(vec![]));
+    let mut gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    client.send(&write("once", 1, 5000));
+    until("the database has it", || seen.count() == 1);
+    gateway.program.terminate();
+    assert!(matches!(client.answer(), Answer::Error(code, _) if code == "57014"));
     assert!(gateway.program.ended().success());
 }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -464,6 +464,38 @@
     assert_eq!(s.at(1), Some(2));
 }
 
+#[test]
+fn a_node_whose_answers_are_errors_gets_little_though_it_has_nothing_in_flight() {
+    let mut s = Script::group(settings(), 4, 1);
+    let mut sent = 0;
+    for id in 1..=400 {
+        s.request(id, ANY);
+        while s.at(id) == Some(2) {
+            sent += 1;
+            s.end(id, Outcome::Error, REPLICA);
+        }
+        s.end(id, Outcome::Ok, REPLICA);
+    }
+    assert!((5..60).contains(&sent), "a third of them without the rule: {sent}");
+}
+
+#[test]
+fn replicas_that_lag_are_asked_again_before_their_lag_has_passed() {
+    // A replica that catches up was left out for as long as it had once lagged.
+    let mut s = Script::group(settings(), 2, 1);
+    s.run(400);
+    s.request(50, BOUNDED);
+    s.report(2, 4000, false);
+    s.probes.clear();
+    for id in 1..=20 {
+        s.request(id, BOUNDED);
+        s.run(100);
+        assert_eq!(s.at(id), Some(1));
+        s.end(id, Outcome::Ok, PRIMARY);
+    }
+    assert!(s.probes.contains(&NodeId(2)), "within 2 s");
+}
+
 #[test]
 fn groups_that_clients_make_up_are_forgotten() {
     let mut s = Script::group(settings(), 2, 1);
