--- a/src/config/cassandra.rs
+++ b/src/config/cassandra.rs
@@ -17,6 +17,8 @@
     listen: SocketAddr,
     #[serde(default = "sockets")]
     sockets: usize,
+    #[serde(default = "memory")]
+    memory_mb: usize,
     #[serde(default)]
     gateway: Gateway,
     #[serde(default)]
@@ -42,6 +44,10 @@
     pub community: String,
 }
 
+const fn memory() -> usize {
+    192
+}
+
 const fn sockets() -> usize {
     1024
 }
@@ -161,6 +167,8 @@
     pub listen: SocketAddr,
     /// Descriptors that this front may hold.
     pub sockets: usize,
+    /// Memory that it may take, in megabytes.
+    pub memory_mb: usize,
     /// The SNMP agent, unless it is off.
     pub snmp: Option<Agent>,
     /// Settings and names.
@@ -205,6 +213,7 @@
         Ok(Self {
             listen: file.listen,
             sockets: file.sockets,
+            memory_mb: file.memory_mb,
             snmp: file.snmp.clone(),
             site: Site::new(&settings(&file))?,
             members: file.member.iter().map(|m| (entry(m), m.address)).collect(),
@@ -239,6 +248,9 @@
 }
 
 fn check(file: &File) -> Result<(), String> {
+    if file.memory_mb < 16 {
+        return Err(format!("memory-mb is {}, below 16", file.memory_mb));
+    }
     if file.sockets < 64 {
         return Err(format!("sockets is {}, below 64", file.sockets));
     }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -24,6 +24,8 @@
     pub seed: u64,
     /// Descriptors that it may hold.
     pub sockets: usize,
+    /// Memory that it may take, in megabytes.
+    pub memory_mb: usize,
     /// The list as last held, in discovery's form.
     pub known: Value,
     /// What the front and the servers need to know of the settings.
@@ -152,14 +154,15 @@
         let config: Value = serde_json::from_str(source).map_err(|e| format!("config: no JSON: {e}"))?;
         let seed = text(&config, "seed")?;
         let settings = config.get("settings").ok_or("config: settings is missing")?;
-        let sockets = match config.pointer("/limits/sockets") {
-            None => 1024,
-            Some(v) => v
-                .as_u64()
-                .filter(|n| *n >= 64)
-                .and_then(|n| usize::try_from(n).ok())
-                .ok_or_else(|| format!("config: limits.sockets is {v}, not a whole number from 64 on"))?,
+        let limit = |key: &str, usual: usize, least: u64| match config.pointer(&format!("/limits/{key}")) {
+            None => Ok(usual),
+            Some(v) => {
+                let number = v.as_u64().filter(|n| *n >= least).and_then(|n| usize::try_from(n).ok());
+                number
+                    .ok_or_else(|| format!("config: limits.{key} is {v}, not a whole number from {least} on"))
+            }
         };
+        let (sockets, memory_mb) = (limit("sockets", 1024, 64)?, limit("memory_mb", 192, 16)?);
         Ok(Self {
             name: text(&config, "name")?.to_owned(),
             listen: parsed(&config, "listen", "an address with a port")?,
@@ -167,6 +170,7 @@
             seed: u64::from_str_radix(seed, 16)
                 .map_err(|_| format!("config: seed is {seed:?}, not a hexadecimal number"))?,
             sockets,
+            memory_mb,
             known: config.get("known").cloned().unwrap_or(Value::Null),
             site: Site::new(&flatten(settings))?,
         })
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -52,6 +52,7 @@
     tenant: Option<usize>,
     deadline: Time,
     payload: Arc<Payload>,
+    _room: Room,
     attempts: u32,
     last: Option<Outcome>,
     /// What the server said of the last error.
@@ -249,6 +250,7 @@
                 tenant: ask.tenant,
                 deadline,
                 payload: ask.payload,
+                _room: ask.room,
                 attempts: 0,
                 last: None,
                 word: None,
--- a/src/core/words.rs
+++ b/src/core/words.rs
@@ -1,6 +1,7 @@
 //! What the core is told and what it asks for.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use valehatch::{Entry, GroupId, Outcome, Report, Role, SessionKey, Settings, Span, Time};
 
@@ -17,6 +18,27 @@
 id!(/** A connection from a client. */ ClientId);
 id!(/** A connection to a server. */ ConnId);
 
+/// Room taken for the bytes of a request; it is given back when they are let go of.
+#[derive(Debug)]
+pub struct Room {
+    used: Arc<AtomicUsize>,
+    bytes: usize,
+}
+
+impl Room {
+    /// Takes room for so many bytes, if that leaves no more than `most` in use.
+    pub fn take(used: &Arc<AtomicUsize>, bytes: usize, most: usize) -> Option<Self> {
+        let room = Self { used: Arc::clone(used), bytes };
+        (used.fetch_add(bytes, Ordering::Relaxed) + bytes <= most).then_some(room)
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// What is passed to a server; only the fronts know its form.
 #[derive(Debug)]
 pub struct Payload {
@@ -41,6 +63,8 @@
     /// When the session's last write was committed, if it brought that.
     pub wrote_at: Option<Time>,
     pub payload: Arc<Payload>,
+    /// The room that its bytes take for as long as it is open.
+    pub room: Room,
 }
 
 /// How a request failed.
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,7 +18,7 @@
 use valehatch::config::{Gateway, Site};
 
 use crate::core::{Clock, Effect, Event, Facts, Figures, State};
-use crate::net::clients::{Clients, Serves};
+use crate::net::clients::{Clients, Limits, Serves};
 use crate::net::servers::{Servers, Speaks};
 
 /// Events that may wait for the core; who brings more waits.
@@ -26,10 +26,14 @@
 /// Descriptors kept for everything but connections of clients and servers.
 const SPARE: usize = 32;
 
+/// The part of the memory that requests which are open may take: one in so many.
+const OPEN_PART: usize = 8;
+
 /// What one front needs to serve.
 struct Parts {
     site: Site,
     sockets: usize,
+    memory_mb: usize,
     seed: u64,
     listen: SocketAddr,
     clock: Clock,
@@ -43,7 +47,20 @@
 
 /// Serves a front on a core of its own until it has stopped.
 fn serve(parts: Parts) -> Result<(), String> {
-    let Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp, signals, reload } = parts;
+    let Parts {
+        site,
+        sockets,
+        memory_mb,
+        seed,
+        listen,
+        clock,
+        front,
+        protocol,
+        inbox,
+        snmp,
+        signals,
+        reload,
+    } = parts;
     let (events, inbox) = inbox;
     let budget = sockets - SPARE.min(sockets / 4);
     let timeout = Duration::from_millis(site.connect_timeout_ms);
@@ -60,7 +77,8 @@
     let mut state = State::new(facts, seed, figures).map_err(|e| e.to_string())?;
     net::signals::watch(signals, events.clone(), reload).map_err(|e| format!("signals: {e}"))?;
     let mut servers = Servers::new(protocol, events.clone(), clock, timeout);
-    let clients = Clients::new(front, events, clock, budget / 2);
+    let limits = Limits { connections: budget / 2, bytes: memory_mb * 1024 * 1024 / OPEN_PART };
+    let clients = Clients::new(front, events, clock, limits);
     let bound = clients.listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     log!("listens on {bound}");
     core::run(&mut state, clock, &inbox, |effect| {
@@ -84,7 +102,7 @@
 
 /// The platform's front, told by the platform's JSON.
 fn platform(path: &str, signals: Signals) -> Result<(), String> {
-    let Gateway { name, listen, discovery, seed, sockets, known, site } = load(path)?;
+    let Gateway { name, listen, discovery, seed, sockets, memory_mb, known, site } = load(path)?;
     let (clock, inbox) = (Clock::new(), bounded(QUEUE));
     let place = Arc::new(net::list::Place::new(discovery));
     let watch = net::list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone());
@@ -101,7 +119,20 @@
     log!("{name}: serves the platform");
     let front = Arc::new(net::pg_clients::Front { site: site.clone(), clock });
     let protocol = Arc::new(net::pg_servers::Databases { clock });
-    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp: None, signals, reload })
+    serve(Parts {
+        site,
+        sockets,
+        memory_mb,
+        seed,
+        listen,
+        clock,
+        front,
+        protocol,
+        inbox,
+        snmp: None,
+        signals,
+        reload,
+    })
 }
 
 /// The Cassandra front, told by a file of the operators'.
@@ -113,12 +144,25 @@
     members.map_err(|e| format!("members: {e}"))?;
     let prepared = Arc::new(net::cql::Prepared::default());
     let protocol = Arc::new(net::cql::servers::Nodes::new(Arc::clone(&prepared), clock));
-    let (listen, sockets) = (store.listen, store.sockets);
+    let (listen, sockets, memory_mb) = (store.listen, store.sockets, store.memory_mb);
     let (site, snmp) = (store.site.clone(), store.snmp.clone());
     let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32;
     let front = Arc::new(net::cql::clients::Front { store, prepared });
     let reload = Box::new(move || again.store(true, Ordering::Relaxed));
-    serve(Parts { site, sockets, seed, listen, clock, front, protocol, inbox, snmp, signals, reload })
+    serve(Parts {
+        site,
+        sockets,
+        memory_mb,
+        seed,
+        listen,
+        clock,
+        front,
+        protocol,
+        inbox,
+        snmp,
+        signals,
+        reload,
+    })
 }
 
 fn main() -> ExitCode {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -13,10 +13,8 @@
 use valehatch::{Span, Time};
 
 use super::{lock, spawn};
-use crate::core::{Answer, Ask, ClientId, Clock, Event};
+use crate::core::{Answer, Ask, ClientId, Clock, Event, Room};
 
-/// Requests that a connection may have open; a client that sends more waits.
-pub const PIPELINE: usize = 64;
 /// How long a write to a client may stand still before the client counts as gone.
 const STUCK: Duration = Duration::from_secs(3);
 /// A connection without an open request is closed after this long: some ask once and stay for ever, others
@@ -39,6 +37,8 @@
     fn encode(&self, ticket: u64, answer: Answer) -> Vec<u8>;
     /// Whether answers leave in the order of their requests, by ticket from 0.
     fn ordered(&self) -> bool;
+    /// Requests that a connection may have open; a client that sends more waits.
+    fn pipeline(&self) -> usize;
 }
 
 enum Out {
@@ -178,9 +178,15 @@
     out: Sender<Out>,
     permits: Sender<()>,
     line: Arc<Line>,
+    all: Arc<Clients>,
 }
 
 impl Session {
+    /// Room for the bytes of a request, while all that are open leave some.
+    pub fn room(&self, bytes: usize) -> Option<Room> {
+        Room::take(&self.all.bytes, bytes, self.all.limits.bytes)
+    }
+
     /// Hands a request to the core.
     pub fn ask(&self, ticket: u64, ask: Ask) -> io::Result<()> {
         self.permit()?;
@@ -225,17 +231,26 @@
     clock: Clock,
     handles: Mutex<HashMap<ClientId, Handle>>,
     held: Arc<AtomicUsize>,
-    most: usize,
+    bytes: Arc<AtomicUsize>,
+    limits: Limits,
     stopped: AtomicBool,
 }
 
+/// What all clients together may take up.
+#[derive(Clone, Copy)]
+pub struct Limits {
+    pub connections: usize,
+    /// Of requests that are open.
+    pub bytes: usize,
+}
+
 /// Connections over the limit that may be held at once to be refused.
 const REFUSED: usize = 16;
 
 impl Clients {
-    pub fn new(front: Arc<dyn Serves>, events: Sender<Event>, clock: Clock, most: usize) -> Arc<Self> {
-        let (handles, held) = (Mutex::default(), Arc::default());
-        Arc::new(Self { front, events, clock, handles, held, most, stopped: AtomicBool::new(false) })
+    pub fn new(front: Arc<dyn Serves>, events: Sender<Event>, clock: Clock, limits: Limits) -> Arc<Self> {
+        let (handles, held, bytes) = (Mutex::default(), Arc::default(), Arc::default());
+        Arc::new(Self { front, events, clock, handles, held, bytes, limits, stopped: AtomicBool::new(false) })
     }
 
     /// Listens on an address, and on no other.
@@ -251,7 +266,7 @@
         let mut next = 0;
         loop {
             // At the very limit of descriptors new connections wait in the listener's queue.
-            while self.held.load(Ordering::Relaxed) >= self.most + REFUSED {
+            while self.held.load(Ordering::Relaxed) >= self.limits.connections + REFUSED {
                 let _ = self.make_room();
                 sleep(Duration::from_millis(2));
             }
@@ -294,7 +309,7 @@
     }
 
     fn begin(self: &Arc<Self>, id: ClientId, stream: TcpStream) -> io::Result<()> {
-        let full = self.held.fetch_add(1, Ordering::Relaxed) >= self.most;
+        let full = self.held.fetch_add(1, Ordering::Relaxed) >= self.limits.connections;
         let since = self.clock.now();
         let gate =
             Gate { reading: false, open: 0, asked: false, since, idle: IDLE, closing: false, ended: false };
@@ -306,10 +321,12 @@
         let full = full && !self.make_room();
         // A permit is taken for each thing to be written and given back after it, so this never overflows;
         // the end of the connection is said once and needs none.
-        let (out, todo) = bounded(PIPELINE + 2);
-        let (permits, done) = bounded(PIPELINE);
+        let pipeline = self.front.pipeline();
+        let (out, todo) = bounded(pipeline + 2);
+        let (permits, done) = bounded(pipeline);
         lock(&self.handles).insert(id, Handle { out: out.clone(), line: Arc::clone(&line) });
-        let session = Session { id, events: self.events.clone(), out, permits, line: Arc::clone(&line) };
+        let events = self.events.clone();
+        let session = Session { id, events, out, permits, line: Arc::clone(&line), all: Arc::clone(self) };
         let writer = Writer { line: Arc::clone(&line), front: Arc::clone(&self.front) };
         let all = Arc::clone(self);
         let started = spawn("client out", move || writer.run(&todo, &done)).and_then(|()| {
--- a/src/net/cql/clients.rs
+++ b/src/net/cql/clients.rs
@@ -104,10 +104,10 @@
         let class = &self.store.site.settings.classes[contract.class];
         let write = class.need == Need::Write;
         let ticket = ticket(stream, write, asked.consistency);
-        if full {
+        let Some(room) = session.room(frame.bytes().len()).filter(|_| !full) else {
             let answer = Answer::Refused { after: self.store.site.settings.limits.max_retry_after };
             return session.reply(0, self.encode(ticket, answer));
-        }
+        };
         let payload = Payload { bytes: frame.bytes().to_vec(), write };
         session.ask(
             ticket,
@@ -121,6 +121,7 @@
                 repeat: false,
                 wrote_at: None,
                 payload: Arc::new(payload),
+                room,
             },
         )
     }
@@ -236,4 +237,8 @@
     fn ordered(&self) -> bool {
         false
     }
+
+    fn pipeline(&self) -> usize {
+        64
+    }
 }
--- a/src/net/cql/codec.rs
+++ b/src/net/cql/codec.rs
@@ -6,9 +6,11 @@
 /// The length of a header.
 pub const HEADER: usize = 9;
 /// The longest body that a client may send.
-pub const FROM_CLIENT: usize = 1024 * 1024;
+pub const FROM_CLIENT: usize = 256 * 1024;
 /// The longest body that a node may send.
-pub const FROM_NODE: usize = 8 * 1024 * 1024;
+pub const FROM_NODE: usize = 2 * 1024 * 1024;
+/// Types within types that are followed.
+const DEPTH: u32 = 16;
 
 const REQUEST: u8 = 0x04;
 const RESPONSE: u8 = 0x84;
@@ -110,8 +112,10 @@
         if length > most {
             return Err(Fault::Bad(stream, format!("a body of {length} bytes, where {most} are the most")));
         }
-        bytes.resize(HEADER + length, 0);
-        from.read_exact(&mut bytes[HEADER..])?;
+        // Memory is taken as bytes come, not for what a header claims.
+        if from.take(length as u64).read_to_end(&mut bytes)? < length {
+            return Err(Fault::Io(io::ErrorKind::UnexpectedEof.into()));
+        }
         Ok(Self(bytes))
     }
 
@@ -137,6 +141,50 @@
         self
     }
 
+    /// Whether a response is a result that is whole: every length in it fits, and nothing lies behind it.
+    pub fn is_result(&self) -> bool {
+        let read = || -> Result<bool, String> {
+            let mut r = self.content()?;
+            match r.int()? {
+                1 => {}
+                2 => {
+                    let columns = r.columns(false)?;
+                    let rows = r.int()?;
+                    if columns == 0 && rows > 0 {
+                        return Ok(false);
+                    }
+                    for _ in 0..rows {
+                        for _ in 0..columns {
+                            r.bytes()?;
+                        }
+                    }
+                }
+                3 => drop(r.string()?),
+                4 => {
+                    r.short_bytes()?;
+                    r.columns(true)?;
+                    r.columns(false)?;
+                }
+                5 => {
+                    r.string()?;
+                    let target = r.string()?;
+                    r.string()?;
+                    if target != "KEYSPACE" {
+                        r.string()?;
+                    }
+                    if matches!(target, "FUNCTION" | "AGGREGATE") {
+                        for _ in 0..r.short()? {
+                            r.string()?;
+                        }
+                    }
+                }
+                _ => return Ok(false),
+            }
+            Ok(r.0.is_empty())
+        };
+        self.opcode() == op::RESULT && read().unwrap_or(false)
+    }
+
     /// What the body says, behind the parts that flags announce.
     pub fn content(&self) -> Result<Reader<'_>, String> {
         let mut r = Reader(&self.0[HEADER..]);
@@ -194,6 +242,64 @@
         let n = self.int()?;
         if n > i32::MAX as u32 { Ok(&[]) } else { self.take(n as usize) }
     }
+    /// The description of columns, before rows or of a prepared statement; how many there are.
+    fn columns(&mut self, prepared: bool) -> Result<u32, String> {
+        let (flags, columns) = (self.int()?, self.int()?);
+        if prepared {
+            for _ in 0..self.int()? {
+                self.short()?;
+            }
+        }
+        if flags & 0x02 != 0 {
+            self.bytes()?;
+        }
+        if flags & 0x04 != 0 {
+            return Ok(columns);
+        }
+        let global = flags & 0x01 != 0;
+        if global {
+            self.string()?;
+            self.string()?;
+        }
+        for _ in 0..columns {
+            if !global {
+                self.string()?;
+                self.string()?;
+            }
+            self.string()?;
+            self.kind(DEPTH)?;
+        }
+        Ok(columns)
+    }
+
+    /// The type of a value.
+    fn kind(&mut self, depth: u32) -> Result<(), String> {
+        let depth = depth.checked_sub(1).ok_or("types within types, too deep")?;
+        match self.short()? {
+            0x00 => drop(self.string()?),
+            0x01..=0x15 => {}
+            0x20 | 0x22 => self.kind(depth)?,
+            0x21 => {
+                self.kind(depth)?;
+                self.kind(depth)?;
+            }
+            0x30 => {
+                self.string()?;
+                self.string()?;
+                for _ in 0..self.short()? {
+                    self.string()?;
+                    self.kind(depth)?;
+                }
+            }
+            0x31 => {
+                for _ in 0..self.short()? {
+                    self.kind(depth)?;
+                }
+            }
+            other => return Err(format!("a type {other:#06x} is not known")),
+        }
+        Ok(())
+    }
     pub fn short_bytes(&mut self) -> Result<&'a [u8], String> {
         let n = self.short()?.into();
         self.take(n)
--- a/src/net/cql/mod.rs
+++ b/src/net/cql/mod.rs
@@ -10,8 +10,9 @@
 
 use super::lock;
 
-/// Statements that may be remembered.
+/// Statements that may be remembered, and bytes of them.
 const MOST: usize = 10_000;
+const BYTES: usize = 4 * 1024 * 1024;
 
 /// Prepared statements by the id that a node gave them: any node can be told of them again.
 #[derive(Default)]
@@ -21,6 +22,7 @@
 struct Known {
     statements: HashMap<Vec<u8>, Arc<str>>,
     order: VecDeque<Vec<u8>>,
+    bytes: usize,
 }
 
 impl Prepared {
@@ -31,12 +33,15 @@
     /// Memory is bounded by forgetting the oldest, which its clients then prepare anew.
     pub fn insert(&self, id: &[u8], statement: &str) {
         let mut held = lock(&self.0);
-        if held.statements.insert(id.to_vec(), Arc::from(statement)).is_none() {
-            held.order.push_back(id.to_vec());
+        held.bytes += statement.len();
+        match held.statements.insert(id.to_vec(), Arc::from(statement)) {
+            Some(old) => held.bytes -= old.len(),
+            None => held.order.push_back(id.to_vec()),
         }
-        while held.order.len() > MOST {
-            let oldest = held.order.pop_front();
-            oldest.into_iter().for_each(|id| drop(held.statements.remove(&id)));
+        while held.order.len() > MOST || held.bytes > BYTES {
+            let oldest = held.order.pop_front().and_then(|id| held.statements.remove(&id));
+            let Some(oldest) = oldest else { break };
+            held.bytes -= oldest.len();
         }
     }
 }
--- a/src/net/cql/servers.rs
+++ b/src/net/cql/servers.rs
@@ -83,10 +83,19 @@
     prepared.then(|| r.short_bytes().ok().map(<[u8]>::to_vec))?
 }
 
+/// Whether an answer to a request is one: a whole result, or an error with its code and words.
+fn whole(frame: &Frame) -> bool {
+    let error = || frame.content().and_then(|mut r| r.int().and_then(|_| r.string().map(drop))).is_ok();
+    if frame.opcode() == op::ERROR { error() } else { frame.is_result() }
+}
+
 /// What an answer says of the attempt, and the id of a statement that the node does not know.
 fn judge(frame: &Frame) -> (Outcome, Option<Vec<u8>>) {
-    if frame.opcode() != op::ERROR {
-        return (if frame.opcode() == op::RESULT { Outcome::Ok } else { Outcome::Error }, None);
+    if !whole(frame) {
+        return (Outcome::Error, None);
+    }
+    if frame.opcode() == op::RESULT {
+        return (Outcome::Ok, None);
     }
     let read = || -> Result<(u32, Option<Vec<u8>>), String> {
         let mut r = frame.content()?;
@@ -172,6 +181,11 @@
         }
         let mut reply = Reply::bare(judged.0);
         let Some(frame) = frame else { return (reply, false) };
+        // A spoilt answer may have run; nothing of it is passed on, and its connection is of no further use.
+        if !whole(&frame) {
+            crate::log!("a node's answer is spoilt: opcode {:#04x}", frame.opcode());
+            return (reply, false);
+        }
         if let Job::Run { payload, .. } = job {
             let asked = Frame::from_bytes(payload.bytes.clone());
             if let (op::PREPARE, Some(id)) = (asked.opcode(), prepared_id(&frame)) {
@@ -182,9 +196,7 @@
             reply.role = (judged.0 == Outcome::Ok && payload.write).then_some(Role::Primary);
         }
         // A client is told of a node's time-out or failure as the node put it.
-        if matches!(judged.0, Outcome::Ok | Outcome::Error)
-            && [op::RESULT, op::ERROR].contains(&frame.opcode())
-        {
+        if matches!(judged.0, Outcome::Ok | Outcome::Error) {
             reply.body = Some(frame.into_bytes());
         }
         (reply, true)
--- a/src/net/list.rs
+++ b/src/net/list.rs
@@ -24,7 +24,7 @@
 /// Between tries; the watch goes on only when the next call comes within 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
 /// The longest answer that is read.
-const MOST: usize = 8 * 1024 * 1024;
+const MOST: usize = 1024 * 1024;
 
 #[derive(Deserialize)]
 struct List {
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -5,8 +5,8 @@
 
 /// The longest message that a client may send: a value of 64 KiB in hexadecimal digits, and its statement.
 pub const FROM_CLIENT: usize = 160 * 1024;
-/// The longest message that a server may send: a value of 64 KiB.
-pub const FROM_SERVER: usize = 72 * 1024;
+/// The longest message that a server may send: values may have 64 KiB, yet up to 400 KB were seen.
+pub const FROM_SERVER: usize = 1024 * 1024;
 /// The longest startup message.
 const STARTUP: usize = 10_000;
 
@@ -38,8 +38,11 @@
     if !(4..=most + 4).contains(&length) {
         return Err(invalid(format!("a message of {length} bytes, where {most} are the most")));
     }
-    let mut bytes = vec![0; length - 4];
-    from.read_exact(&mut bytes)?;
+    // Memory is taken as bytes come, not for what a length claims.
+    let mut bytes = vec![];
+    if from.take(length as u64 - 4).read_to_end(&mut bytes)? < length - 4 {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
     Ok(bytes)
 }
 
--- a/src/net/pg_clients.rs
+++ b/src/net/pg_clients.rs
@@ -11,7 +11,7 @@
 use super::clients::{Incoming, Serves, Session};
 use super::pg::{self, Opening};
 use super::servers::place_ms;
-use crate::core::{Answer, Ask, Clock, Failure, Payload};
+use crate::core::{Answer, Ask, Clock, Failure, Payload, Room};
 
 /// How the platform's clients are spoken with.
 pub struct Front {
@@ -20,8 +20,8 @@
 }
 
 impl Front {
-    /// A request, or what is wrong with it.
-    fn understand(&self, query: &[u8]) -> Result<Ask, String> {
+    /// A request, `None` where there is no room for it, or what is wrong with it.
+    fn understand(&self, query: &[u8], room: impl FnOnce() -> Option<Room>) -> Result<Option<Ask>, String> {
         let text = std::str::from_utf8(query).map_err(|_| "the query is not UTF-8")?;
         let (comment, statement) = pg::comment(text).ok_or("the query has no leading comment")?;
         let pairs: Option<Vec<_>> = comment.split(',').map(|p| p.trim().split_once('=')).collect();
@@ -50,8 +50,12 @@
         if statement.trim_start().get(..verb.len()).is_none_or(|s| !s.eq_ignore_ascii_case(verb)) {
             return Err(format!("the class takes statements that begin with {verb}"));
         }
+        // Where no read asks for its session's writes, no session is remembered.
+        let asked = self.site.settings.classes.iter().any(|c| c.need == Need::Session);
         let session = matches!(need, Need::Write | Need::Session).then(|| quoted(statement)).flatten();
-        Ok(Ask {
+        let session = session.filter(|_| asked);
+        let Some(room) = room() else { return Ok(None) };
+        Ok(Some(Ask {
             name: Some(Arc::from(id)),
             class,
             tenant: value("t").and_then(|t| place(&self.site.tenants, t)),
@@ -66,7 +70,8 @@
             repeat: value("r") == Some("1"),
             wrote_at: value("after").and_then(|a| a.parse().ok()).map(|ms| place_ms(self.clock, ms)),
             payload: Arc::new(Payload { bytes: query.to_vec(), write: need == Need::Write }),
-        })
+            room,
+        }))
     }
 
     /// What is answered at once: nothing, settings that this front has no use for, or an error.
@@ -157,12 +162,13 @@
                 }
             }
             let query = bytes.strip_suffix(b"\0").unwrap_or(&bytes);
-            match self.understand(query) {
-                Ok(_) if full => {
+            let room = || session.room(bytes.len()).filter(|_| !full);
+            match self.understand(query, room) {
+                Ok(Some(ask)) => session.ask(ticket, ask)?,
+                Ok(None) => {
                     let after = self.site.settings.limits.max_retry_after;
                     return Ok(self.encode(ticket, Answer::Refused { after }));
                 }
-                Ok(ask) => session.ask(ticket, ask)?,
                 Err(fault) => {
                     let word = Self::aside(query, &fault);
                     faults += usize::from(word.starts_with(b"E"));
@@ -218,4 +224,9 @@
     fn ordered(&self) -> bool {
         true
     }
+
+    /// Clients here ask one thing at a time; answers that wait for their turn take memory.
+    fn pipeline(&self) -> usize {
+        16
+    }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -358,6 +358,8 @@
     }
     let silent: Vec<Client> = (0..100).map(|_| Client::raw(gateway.address)).collect();
     assert_eq!(Client::connect(gateway.address).ask(&read(200, 4000)), value("x200"));
+    let has = |what| std::fs::read_dir(format!("/proc/{}/{what}", gateway.program.0.id())).unwrap().count();
+    assert!(has("fd") <= 64 && has("task") <= 140, "{} descriptors, {} threads", has("fd"), has("task"));
     drop(silent);
 }
 
@@ -540,3 +542,20 @@
     assert!(matches!(client.ask(&read(1, 4000)), Answer::Error(got, _) if got == code));
     assert_eq!(seen.count(), 1);
 }
+
+#[test]
+fn requests_that_are_open_take_bounded_memory() {
+    // An eighth of 16 MB is for the bytes of open requests: what is beyond that is refused, not held.
+    let (at, _) = database("read-write", |_, _| Does::Stall(vec![]));
+    let edit = |text: String| text.replace("\"sockets\":1024", "\"sockets\":1024,\"memory_mb\":16");
+    let gateway = platform_edited(&target("s-00000001", at, "read-write", "active"), 15_000, false, edit);
+    let mut clients: Vec<Client> = (0..40).map(|_| Client::connect(gateway.address)).collect();
+    for (id, client) in (1..).zip(&mut clients) {
+        client.send(&write("once", id, 5000).replace("'1'", &format!("'{}'", "9".repeat(100_000))));
+    }
+    let refused = clients
+        .iter_mut()
+        .map(Client::answer)
+        .filter(|a| matches!(a, Answer::Error(code, Some(_)) if code == "53300"));
+    assert!(refused.count() >= 40 - 2 * 1024 * 1024 / 100_000);
+}
