--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,14 +1,16 @@
-//! Connections from clients: one thread accepts, each connection has a thread that reads and one that writes.
+//! Connections from clients: one thread accepts, each connection has a thread that reads. Answers are written by
+//! whoever has them; a client that does not take one at once gets a thread for that.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::Sender;
+use socket2::SockRef;
 
 use valehatch::{Span, Time};
 
@@ -41,13 +43,6 @@
     fn pipeline(&self) -> usize;
 }
 
-enum Out {
-    Answer(u64, Answer),
-    Bytes(u64, Vec<u8>),
-    /// Something that is no answer; in an ordered protocol it leaves at once.
-    Aside(Vec<u8>),
-}
-
 /// What a connection is doing, so that it is never ended under a request that has been read.
 struct Gate {
     /// A message has begun to come in.
@@ -64,10 +59,28 @@
     ended: bool,
 }
 
+/// What is to be written to a client.
+#[derive(Default)]
+struct Outbox {
+    /// In an ordered protocol: the ticket whose answer leaves next, and those that wait for it.
+    next: u64,
+    waiting: BTreeMap<u64, Vec<u8>>,
+    /// What leaves now, and how many answers that are.
+    ready: Vec<u8>,
+    count: usize,
+    /// A thread is at it, since the client did not take all at once.
+    writing: bool,
+    /// Nothing will be added any more.
+    complete: bool,
+}
+
 /// A connection; it counts as held until its descriptor is given back.
 struct Line {
     stream: TcpStream,
     gate: Mutex<Gate>,
+    eased: Condvar,
+    outbox: Mutex<Outbox>,
+    front: Arc<dyn Serves>,
     clock: Clock,
     held: Arc<AtomicUsize>,
 }
@@ -90,8 +103,105 @@
         what(&mut gate);
         gate.since = self.clock.now();
         drop(gate);
+        self.eased.notify_all();
         self.end_if(|g| g.closing);
     }
+
+    /// Takes a place for something that the client is owed; waits while it is owed too much.
+    fn owe(&self) -> io::Result<()> {
+        let most = self.front.pipeline();
+        let full = |g: &mut Gate| g.open >= most && !g.ended;
+        let gate = self.eased.wait_while(lock(&self.gate), full);
+        let mut gate = gate.unwrap_or_else(PoisonError::into_inner);
+        if gate.ended {
+            return Err(ErrorKind::BrokenPipe.into());
+        }
+        gate.open += 1;
+        Ok(())
+    }
+
+    /// Passes on what the client is owed, in its turn. Never waits: what the client does not take at once is
+    /// left to a thread.
+    fn put(self: &Arc<Self>, ticket: Option<u64>, bytes: Vec<u8>) {
+        let mut guard = lock(&self.outbox);
+        let outbox = &mut *guard;
+        match ticket.filter(|_| self.front.ordered()) {
+            Some(ticket) => drop(outbox.waiting.insert(ticket, bytes)),
+            None => {
+                outbox.ready.extend_from_slice(&bytes);
+                outbox.count += 1;
+            }
+        }
+        while let Some(bytes) = outbox.waiting.remove(&outbox.next) {
+            outbox.ready.extend_from_slice(&bytes);
+            outbox.next += 1;
+            outbox.count += 1;
+        }
+        if outbox.writing || outbox.ready.is_empty() {
+            return;
+        }
+        let socket = SockRef::from(&self.stream);
+        loop {
+            match socket.send_with_flags(&outbox.ready, libc::MSG_DONTWAIT) {
+                Ok(n) if n == outbox.ready.len() => break,
+                Ok(n) => drop(outbox.ready.drain(..n)),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    outbox.writing = true;
+                    drop(guard);
+                    let line = Arc::clone(self);
+                    if spawn("client out", move || line.write_rest()).is_err() {
+                        self.break_off();
+                    }
+                    return;
+                }
+                Err(_) => {
+                    drop(guard);
+                    return self.break_off();
+                }
+            }
+        }
+        outbox.ready.clear();
+        let count = std::mem::take(&mut outbox.count);
+        drop(guard);
+        self.note(|g| g.open -= count);
+    }
+
+    /// Writes to a client that is slow to take things, until it has them all.
+    fn write_rest(&self) {
+        loop {
+            let mut outbox = lock(&self.outbox);
+            let (bytes, count) = (std::mem::take(&mut outbox.ready), std::mem::take(&mut outbox.count));
+            if bytes.is_empty() {
+                outbox.writing = false;
+                if outbox.complete {
+                    let _ = self.stream.shutdown(Shutdown::Both);
+                }
+                return;
+            }
+            drop(outbox);
+            if (&self.stream).write_all(&bytes).is_err() {
+                return self.break_off();
+            }
+            self.note(|g| g.open -= count);
+        }
+    }
+
+    /// The client takes nothing more.
+    fn break_off(&self) {
+        lock(&self.gate).ended = true;
+        let _ = self.stream.shutdown(Shutdown::Both);
+        self.eased.notify_all();
+    }
+
+    /// Nothing more will be said: the connection ends once all is written.
+    fn complete(&self) {
+        let mut outbox = lock(&self.outbox);
+        outbox.complete = true;
+        if !outbox.writing {
+            let _ = self.stream.shutdown(Shutdown::Both);
+        }
+    }
 }
 
 impl Drop for Line {
@@ -175,8 +285,6 @@
 pub struct Session {
     id: ClientId,
     events: Sender<Event>,
-    out: Sender<Out>,
-    permits: Sender<()>,
     line: Arc<Line>,
     all: Arc<Clients>,
 }
@@ -189,7 +297,7 @@
 
     /// Hands a request to the core.
     pub fn ask(&self, ticket: u64, ask: Ask) -> io::Result<()> {
-        self.permit()?;
+        self.line.owe()?;
         lock(&self.line.gate).asked = true;
         let event = Event::Asked { client: self.id, ticket, ask };
         self.events.send(event).map_err(|_| io::ErrorKind::BrokenPipe.into())
@@ -197,31 +305,22 @@
 
     /// Answers without the core.
     pub fn reply(&self, ticket: u64, bytes: Vec<u8>) -> io::Result<()> {
-        self.permit()?;
-        self.out.send(Out::Bytes(ticket, bytes)).map_err(|_| io::ErrorKind::BrokenPipe.into())
+        self.line.owe()?;
+        self.line.put(Some(ticket), bytes);
+        Ok(())
     }
 
     /// Says something that answers no request.
     pub fn say(&self, bytes: Vec<u8>) -> io::Result<()> {
-        self.permit()?;
-        self.out.send(Out::Aside(bytes)).map_err(|_| io::ErrorKind::BrokenPipe.into())
+        self.line.owe()?;
+        self.line.put(None, bytes);
+        Ok(())
     }
 
     /// Lets the connection stand idle for longer, where the protocol's clients keep theirs.
     pub fn stay(&self, idle: Span) {
         lock(&self.line.gate).idle = idle;
     }
-
-    fn permit(&self) -> io::Result<()> {
-        self.permits.send(()).map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))?;
-        lock(&self.line.gate).open += 1;
-        Ok(())
-    }
-}
-
-struct Handle {
-    out: Sender<Out>,
-    line: Arc<Line>,
 }
 
 /// All connections from clients.
@@ -229,7 +328,7 @@
     front: Arc<dyn Serves>,
     events: Sender<Event>,
     clock: Clock,
-    handles: Mutex<HashMap<ClientId, Handle>>,
+    lines: Mutex<HashMap<ClientId, Arc<Line>>>,
     held: Arc<AtomicUsize>,
     bytes: Arc<AtomicUsize>,
     limits: Limits,
@@ -249,8 +348,8 @@
 
 impl Clients {
     pub fn new(front: Arc<dyn Serves>, events: Sender<Event>, clock: Clock, limits: Limits) -> Arc<Self> {
-        let (handles, held, bytes) = (Mutex::default(), Arc::default(), Arc::default());
-        Arc::new(Self { front, events, clock, handles, held, bytes, limits, stopped: AtomicBool::new(false) })
+        let (lines, held, bytes) = (Mutex::default(), Arc::default(), Arc::default());
+        Arc::new(Self { front, events, clock, lines, held, bytes, limits, stopped: AtomicBool::new(false) })
     }
 
     /// Listens on an address, and on no other.
@@ -297,15 +396,15 @@
 
     /// Ends the connection that has been of no use for the longest: one that never asked anything first.
     fn make_room(&self) -> bool {
-        let handles = lock(&self.handles);
+        let lines = lock(&self.lines);
         let settled = self.clock.now() - SETTLES;
-        let idle = |h: &&Handle| {
-            let gate = lock(&h.line.gate);
+        let idle = |line: &&Arc<Line>| {
+            let gate = lock(&line.gate);
             let idle = !gate.reading && gate.open == 0 && !gate.ended && (gate.asked || gate.since < settled);
             idle.then_some((gate.asked, gate.since))
         };
-        let oldest = handles.values().filter_map(|h| Some((idle(&h)?, h))).min_by_key(|(rank, _)| *rank);
-        oldest.is_some_and(|(_, h)| h.line.end_if(|g| !g.ended))
+        let oldest = lines.values().filter_map(|l| Some((idle(&l)?, l))).min_by_key(|(rank, _)| *rank);
+        oldest.is_some_and(|(_, line)| line.end_if(|g| !g.ended))
     }
 
     fn begin(self: &Arc<Self>, id: ClientId, stream: TcpStream) -> io::Result<()> {
@@ -313,33 +412,28 @@
         let since = self.clock.now();
         let gate =
             Gate { reading: false, open: 0, asked: false, since, idle: IDLE, closing: false, ended: false };
-        let (gate, held) = (Mutex::new(gate), Arc::clone(&self.held));
-        let line = Arc::new(Line { stream, gate, clock: self.clock, held });
+        let line = Arc::new(Line {
+            stream,
+            gate: Mutex::new(gate),
+            eased: Condvar::new(),
+            outbox: Mutex::default(),
+            front: Arc::clone(&self.front),
+            clock: self.clock,
+            held: Arc::clone(&self.held),
+        });
         line.stream.set_nodelay(true)?;
         line.stream.set_read_timeout(Some(LOOK))?;
         line.stream.set_write_timeout(Some(STUCK))?;
         let full = full && !self.make_room();
-        // A permit is taken for each thing to be written and given back after it, so this never overflows;
-        // the end of the connection is said once and needs none.
-        let pipeline = self.front.pipeline();
-        let (out, todo) = bounded(pipeline + 2);
-        let (permits, done) = bounded(pipeline);
-        lock(&self.handles).insert(id, Handle { out: out.clone(), line: Arc::clone(&line) });
-        let events = self.events.clone();
-        let session = Session { id, events, out, permits, line: Arc::clone(&line), all: Arc::clone(self) };
-        let writer = Writer { line: Arc::clone(&line), front: Arc::clone(&self.front) };
+        lock(&self.lines).insert(id, Arc::clone(&line));
         let all = Arc::clone(self);
-        let started = spawn("client out", move || writer.run(&todo, &done)).and_then(|()| {
-            spawn("client in", move || {
-                let _ = all.events.send(Event::Connected(id));
-                let mut from = Incoming(BufReader::with_capacity(4096, Patient(line)));
-                if let Err(e) = all.front.serve(&mut from, &session, full)
-                    && e.kind() == io::ErrorKind::InvalidData
-                {
-                    crate::log!("a client broke the protocol: {e}");
-                }
-                all.end(id);
-            })
+        let started = spawn("client", move || {
+            let _ = all.events.send(Event::Connected(id));
+            let mut from = Incoming(BufReader::with_capacity(4096, Patient(Arc::clone(&line))));
+            let session = Session { id, events: all.events.clone(), line: Arc::clone(&line), all };
+            let _ = session.all.front.serve(&mut from, &session, full);
+            session.all.end(id);
+            line.complete();
         });
         if started.is_err() {
             self.end(id);
@@ -349,24 +443,21 @@
 
     fn end(&self, id: ClientId) {
         let _ = self.events.send(Event::Disconnected(id));
-        lock(&self.handles).remove(&id);
+        lock(&self.lines).remove(&id);
     }
 
     /// Passes an answer on; never waits.
     pub fn answer(&self, client: ClientId, ticket: u64, answer: Answer) {
-        let handles = lock(&self.handles);
-        let Some(handle) = handles.get(&client) else { return };
-        if handle.out.try_send(Out::Answer(ticket, answer)).is_err() {
-            let _ = handle.line.stream.shutdown(Shutdown::Both);
+        if let Some(line) = lock(&self.lines).get(&client).cloned() {
+            line.put(Some(ticket), self.front.encode(ticket, answer));
         }
     }
 
     /// Ends a connection, once all that came over it is answered.
     pub fn close(&self, client: ClientId) {
-        let handles = lock(&self.handles);
-        let Some(handle) = handles.get(&client) else { return };
-        lock(&handle.line.gate).closing = true;
-        handle.line.end_if(|_| true);
+        let Some(line) = lock(&self.lines).get(&client).cloned() else { return };
+        lock(&line.gate).closing = true;
+        line.end_if(|_| true);
     }
 
     /// Takes no more connections.
@@ -379,49 +470,3 @@
         }
     }
 }
-
-struct Writer {
-    line: Arc<Line>,
-    front: Arc<dyn Serves>,
-}
-
-impl Writer {
-    fn run(&self, todo: &Receiver<Out>, done: &Receiver<()>) {
-        let mut waiting: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
-        let mut next = 0;
-        for out in todo {
-            let mut ready = vec![];
-            let mut count = 1;
-            let (ticket, bytes) = match out {
-                Out::Aside(bytes) => {
-                    ready = bytes;
-                    (None, vec![])
-                }
-                Out::Bytes(ticket, bytes) => (Some(ticket), bytes),
-                Out::Answer(ticket, answer) => (Some(ticket), self.front.encode(ticket, answer)),
-            };
-            match ticket {
-                Some(ticket) if self.front.ordered() => {
-                    waiting.insert(ticket, bytes);
-                    count = 0;
-                    while let Some(bytes) = waiting.remove(&next) {
-                        ready.extend_from_slice(&bytes);
-                        next += 1;
-                        count += 1;
-                    }
-                }
-                Some(_) => ready = bytes,
-                None => {}
-            }
-            if !ready.is_empty() && (&self.line.stream).write_all(&ready).is_err() {
-                break;
-            }
-            for _ in 0..count {
-                let _ = done.try_recv();
-            }
-            self.line.note(|g| g.open -= count);
-        }
-        // The reading thread and the table have let go, so what was to be written has been; or it cannot be.
-        let _ = self.line.stream.shutdown(Shutdown::Both);
-    }
-}
