--- a/src/decide.rs
+++ b/src/decide.rs
@@ -29,6 +29,8 @@
 const SLOW_PART: f64 = 0.33;
 /// Mean part of the aim that answers take from which on some requests are refused, and where all would be.
 const STRAIN: (f64, f64) = (0.4, 0.7);
+/// Lost attempts and failed probes without an answer between them from which a node counts as out of reach.
+const DOUBTS: u32 = 3;
 /// A query that takes more than this part of the tightest bound on age is long.
 const LONG_PART: f64 = 0.7;
 
@@ -51,7 +53,6 @@
     lag: Span,
     told_at: Time,
     out: BTreeMap<Attempt, Sent>,
-    /// When it last spoke while something was out there.
     quiet_since: Option<Time>,
     limit: f64,
     /// The share of its answers of late that were errors or broke off.
@@ -70,12 +71,12 @@
     }
 }
 
-/// May I use this node, by my own evidence? A lost attempt makes it suspect; silence, or a failed probe of a
-/// suspect, shuts it; an answer to an attempt opens it, and a passing probe too unless it is shut for silence
-/// (a hung process passes probes). A failed probe alone or a refused connection shuts nothing.
+/// May I use this node, by my own evidence? Lost attempts raise doubts, which an answer ends; silence shuts
+/// it, or a failed probe among some doubts; an answer opens it, and a passing probe too unless it is shut for silence
+/// (a hung process passes probes). A single break shuts nothing: what comes back from that counts as cold.
 #[derive(Debug, Default)]
 struct Reach {
-    suspect: bool,
+    doubts: u32,
     shut: Option<Shut>,
     again: Time,
     /// When it came back from out of reach: it may have started anew, long before the list says so.
@@ -93,7 +94,7 @@
         if self.shut.take() == Some(Shut::OutOfReach) {
             self.revived = Some(now);
         }
-        self.suspect = false;
+        self.doubts = 0;
     }
 
     fn shut(&mut self, why: Shut, now: Time) {
@@ -226,8 +227,6 @@
         self.set_timer(actions);
     }
 
-    // ---- List ----
-
     fn on_list(&mut self, complete: bool, entries: &[Entry]) {
         if complete {
             let named: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
@@ -337,9 +336,12 @@
                 node.reach.open(now);
             }
             report.into_iter().for_each(|r| self.on_report(id, r));
-        } else if !outcome.from_node() && node.reach.suspect && node.reach.shut.is_none() {
-            node.reach.shut(Shut::OutOfReach, now);
-            self.lose_primary(id);
+        } else if matches!(outcome, Outcome::ConnectFailed | Outcome::Timeout) && node.reach.shut.is_none() {
+            node.reach.doubts += u32::from(node.reach.doubts > 0);
+            if node.reach.doubts >= DOUBTS {
+                node.reach.shut(Shut::OutOfReach, now);
+                self.lose_primary(id);
+            }
         }
     }
 
@@ -400,7 +402,6 @@
 
     // ---- Primary and search ----
 
-    /// Newest evidence wins.
     fn on_role(&mut self, id: NodeId, role: Role, at: Time, answered: bool) {
         let Some(node) = self.nodes.get_mut(&id) else { return };
         if node.role.is_some_and(|(_, told)| told > at) {
@@ -640,8 +641,8 @@
             if end.outcome.from_node() {
                 node.reach.open(now);
                 node.quiet_since = Some(now);
-            } else if !matches!(end.outcome, Outcome::Moot | Outcome::Cancelled) {
-                node.reach.suspect |= node.reach.shut.is_none();
+            } else if !matches!(end.outcome, Outcome::Moot | Outcome::Cancelled | Outcome::Timeout) {
+                node.reach.doubts += 1;
             }
             node.quiet_since = node.quiet_since.filter(|_| !node.out.is_empty());
             // A primary stood at the present when it answered, so at least where it was when this was sent.
@@ -694,7 +695,7 @@
         let Some(node) = self.nodes.get_mut(&end.node) else { return };
         let fault = f64::from(u8::from(matches!(end.outcome, Outcome::Error | Outcome::Reset)));
         node.faults += GAIN * (fault - node.faults);
-        let slow = end.latency > class.aim.times(SLOW_PART);
+        let slow = end.latency > class.aim.times(SLOW_PART); // A client's haste proves nothing.
         let full = if end.outcome == Outcome::Full { STRAIN.1 } else { 0.0 };
         let part = (end.latency.as_f64() / class.aim.as_f64()).clamp(full, 2.0);
         if !end.outcome.never_ran() || end.outcome == Outcome::Full {
@@ -706,7 +707,7 @@
                 *strain += if *id == node.group { 2.0 * GAIN } else { shared } * (part - *strain);
             }
         }
-        if slow || matches!(end.outcome, Outcome::Full | Outcome::Timeout) {
+        if slow || end.outcome == Outcome::Full {
             node.limit = (node.limit - LIMIT_CUT).max(1.0);
         } else if end.outcome == Outcome::Ok && node.out.len() as f64 + 1.0 > node.limit / 2.0 {
             node.limit += 1.0 / node.limit;
@@ -847,8 +848,6 @@
         (self.rng.next_u64() >> 11) as f64 / (1_u64 << 53) as f64
     }
 
-    // ---- Cold budget ----
-
     /// The part of its capacity that a cold node surely has; `None` once it is warm.
     fn warm_part(&self, node: &Node) -> Option<f64> {
         let rules = &self.cfg.rules;
@@ -878,8 +877,6 @@
         granted
     }
 
-    // ---- Admission and deadlines ----
-
     /// The final answer of a request that is not tried further: a refusal where that is known to be harmless.
     fn give_up(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
