--- a/src/decide.rs
+++ b/src/decide.rs
@@ -72,7 +72,7 @@
 }
 
 /// May I use this node, by my own evidence? Lost attempts raise doubts, which an answer ends; silence shuts
-/// it, or a failed probe among some doubts; an answer opens it, and a passing probe too unless it is shut for silence
+/// it, or a failed probe among some doubts; an answer opens it, and a passing probe too unless it is silent
 /// (a hung process passes probes). A single break shuts nothing: what comes back from that counts as cold.
 #[derive(Debug, Default)]
 struct Reach {
