--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -7,6 +7,8 @@
 pub const FROM_CLIENT: usize = 160 * 1024;
 /// The longest message that a server may send: values may have 64 KiB, yet up to 400 KB were seen.
 pub const FROM_SERVER: usize = 1024 * 1024;
+/// Up to here memory for a message is taken at once: growing it bit by bit leaves the heap in pieces.
+const USUAL: usize = 64 * 1024;
 /// The longest startup message.
 const STARTUP: usize = 10_000;
 
@@ -38,8 +40,8 @@
     if !(4..=most + 4).contains(&length) {
         return Err(invalid(format!("a message of {length} bytes, where {most} are the most")));
     }
-    // Memory is taken as bytes come, not for what a length claims.
-    let mut bytes = vec![];
+    // Beyond what values usually have, memory is taken as bytes come, not for what a length claims.
+    let mut bytes = Vec::with_capacity((length - 4).min(USUAL));
     if from.take(length as u64 - 4).read_to_end(&mut bytes)? < length - 4 {
         return Err(io::ErrorKind::UnexpectedEof.into());
     }
