--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -394,14 +394,14 @@
         }
     }
 
-    /// Ends the connection that has been of no use for the longest: one that never asked anything first.
+    /// Ends the connection that has been of no use for the longest.
     fn make_room(&self) -> bool {
         let lines = lock(&self.lines);
         let settled = self.clock.now() - SETTLES;
         let idle = |line: &&Arc<Line>| {
             let gate = lock(&line.gate);
-            let idle = !gate.reading && gate.open == 0 && !gate.ended && (gate.asked || gate.since < settled);
-            idle.then_some((gate.asked, gate.since))
+            let idle = !gate.reading && gate.open == 0 && !gate.ended && gate.since < settled;
+            idle.then_some(gate.since)
         };
         let oldest = lines.values().filter_map(|l| Some((idle(&l)?, l))).min_by_key(|(rank, _)| *rank);
         oldest.is_some_and(|(_, line)| line.end_if(|g| !g.ended))
