Pace a fleet's calls to discovery, and ask it only for what changed since the known list

Without an answer the new ones are not in the list, so from 16 s on requests died in "Full" (draining) and "ConnectFailed" (gone), 2,597 and 770 in 2 s.

The service answers some six calls a second, lets them wait 2 s and then fails them; calls of those who hung up go on taking its time. So the queue never got shorter. Ruled out: backoff alone (50 ms doubled to 2.5 s: 40 calls/s, none answered in 20 s); waiting longer alone (13 of 100 answered in the first 2 s, none after); short holds (100 answers at the start, then none).

Change: crates/pace, without I/O: full jitter and capped exponential backoff, a first call spread over the time that the whole fleet's calls take at 5/s (`fleet-size`; never beyond 0.8 of `ask-within`), a hold that grows with the fleet. The watch starts from the version of the known list; where discovery has to be asked a call may wait for its turn. Where it is pushed, only the pauses change. A new address ends a rest at once.

--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -119,16 +119,17 @@
             board: Arc::clone(&made.board),
         });
         let speakers = speakers(front, clock, made.inbox.0.clone()).map_err(|e| format!("front.{n}: {e}"))?;
+        let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32 ^ n as u64;
         if let Members::Discovery(address) = front.members {
             let place = Arc::new(list::Place::new(address));
-            let watch = list::Watch::new(place, front.site.clone(), clock, made.inbox.0.clone());
+            let watch = list::Watch::new(place, front.site.clone(), clock, made.inbox.0.clone(), seed);
             watch.start(&serde_json::Value::Null).map_err(|e| format!("front.{n}: {e}"))?;
         }
         let parts = Parts {
             site: front.site.clone(),
             sockets: front.sockets,
             memory_mb: front.memory_mb,
-            seed: clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32 ^ n as u64,
+            seed,
             listen: front.listen,
             clock,
             front: speakers.clients,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -26,7 +26,7 @@
     valehatch_net::log::init(Log::default());
     let (clock, inbox) = (Clock::start(), bounded(QUEUE));
     let place = Arc::new(list::Place::new(discovery));
-    let watch = list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone());
+    let watch = list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone(), seed);
     watch.start(&known).map_err(|e| format!("list: {e}"))?;
     // Discovery may move under way; all else is read at the start.
     let reload = move || match load(&path) {
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -3,27 +3,29 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::sync::{Arc, Mutex};
-use std::thread::sleep;
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
 use serde::Deserialize;
 use serde_json::Value;
 use valehatch_config::{Site, number};
-use valehatch_policy::{Entry, GroupId, KindId, NodeId, NodeState, ZoneId};
+use valehatch_pace::Backoff;
+use valehatch_policy::{Entry, GroupId, KindId, ListMode, NodeId, NodeState, Span, ZoneId};
 
 use super::servers::place_ms;
 use crate::Clock;
 use crate::lock;
 use valehatch_core::{Event, Member};
 
-/// How long one call of the watch may wait for news.
-const HOLD: Duration = Duration::from_millis(2_000);
-/// How much longer its answer may take before the agent counts as silent.
+/// How often all gateways together may call a discovery that has no news: one service answers them all.
+const CALLS_S: u32 = 5;
+/// How long one call of the watch may wait for news, by that.
+const HOLD: (Span, Span) = (Span::from_millis(2_000), Span::from_millis(20_000));
+/// How long an agent that is asked for nothing but what it has been sent may take.
 const SILENCE: Duration = Duration::from_millis(700);
-/// Between tries; the watch goes on only when the next call comes within 200 ms.
-const PAUSE: Duration = Duration::from_millis(50);
+/// Between tries, at first; the watch goes on only when the next call comes within 200 ms.
+const PAUSE: Span = Span::from_millis(50);
 /// The longest answer that is read.
 const MOST: usize = 1024 * 1024;
 
@@ -53,12 +55,12 @@
     mode: String,
 }
 
-/// Where discovery answers, and the connection to it that is in use: a new address ends it at once.
-pub struct Place(Mutex<(SocketAddr, Option<Arc<TcpStream>>)>);
+/// Where discovery answers, and the connection to it that is in use: a new address ends it at once, and a rest too.
+pub struct Place(Mutex<(SocketAddr, Option<Arc<TcpStream>>)>, Condvar);
 
 impl Place {
     pub const fn new(address: SocketAddr) -> Self {
-        Self(Mutex::new((address, None)))
+        Self(Mutex::new((address, None)), Condvar::new())
     }
 
     fn address(&self) -> SocketAddr {
@@ -71,9 +73,16 @@
         if held.0 != address {
             held.0 = address;
             held.1.take().into_iter().for_each(|line| drop(line.shutdown(Shutdown::Both)));
+            self.1.notify_all();
         }
     }
 
+    /// Waits, for as long as discovery stays at this address.
+    fn rest(&self, address: SocketAddr, pause: Span) {
+        let pause = Duration::from_micros(pause.0.unsigned_abs());
+        drop(self.1.wait_timeout_while(lock(&self.0), pause, |held| held.0 == address));
+    }
+
     fn connect(&self) -> io::Result<Line> {
         let address = self.address();
         let stream = TcpStream::connect_timeout(&address, SILENCE)?;
@@ -109,29 +118,52 @@
     clock: Clock,
     events: Sender<Event>,
     ids: HashMap<String, NodeId>,
+    hold: Duration,
+    /// How much longer an answer may take before the agent counts as silent.
+    silence: Duration,
+    pace: Backoff,
 }
 
 impl Watch {
-    pub fn new(place: Arc<Place>, site: Site, clock: Clock, events: Sender<Event>) -> Self {
-        Self { place, site, clock, events, ids: HashMap::new() }
+    pub fn new(place: Arc<Place>, site: Site, clock: Clock, events: Sender<Event>, seed: u64) -> Self {
+        let hold = valehatch_pace::hold(site.settings.routers, CALLS_S, HOLD.0, HOLD.1);
+        let hold = Duration::from_micros(hold.0.unsigned_abs());
+        let (asked, within) = (site.settings.list_mode == ListMode::Asked, site.settings.rules.ask_within);
+        // Where all gateways ask one service, a call waits for its turn: hanging up early only wastes it. The rules
+        // count a gateway as told that has not asked within that time, four times that after a call that failed.
+        let round = valehatch_pace::round(site.settings.routers, CALLS_S).min(within.times(0.8));
+        let (silence, pace) = if asked {
+            (Duration::from_micros(within.0.unsigned_abs() / 4), (round.max(PAUSE), Span(within.0 * 3)))
+        } else {
+            (SILENCE, (PAUSE, Span(within.0 / 4)))
+        };
+        let pace = Backoff::new(pace.0, pace.1, seed);
+        Self { place, site, clock, events, ids: HashMap::new(), hold, silence, pace }
     }
 
-    /// Takes the list as it was last held, then watches from there on.
+    /// Takes the list as it was last held, then watches from there on: what has changed since is far less than all.
     pub fn start(mut self, known: &Value) -> io::Result<()> {
+        let mut held = None;
         if !known.is_null() {
             match serde_json::from_value::<List>(known.clone()) {
+                Ok(list) if list.all && !list.targets.is_empty() => {
+                    held = Some((self.place.address(), self.take(list)));
+                }
                 Ok(list) => drop(self.take(list)),
                 Err(e) => tracing::warn!("config: known is not a list of servers: {e}"),
             }
         }
-        super::spawn("list", move || self.run())
+        super::spawn("list", move || self.run(held))
     }
 
-    fn run(mut self) {
+    fn run(mut self, mut told: Option<(SocketAddr, u64)>) {
         let mut line: Option<Line> = None;
         // Versions belong to the address that told them: elsewhere the whole list is asked for first.
-        let mut told: Option<(SocketAddr, u64)> = None;
         let mut failing = false;
+        if self.site.settings.list_mode == ListMode::Asked {
+            let pause = self.pace.start();
+            self.place.rest(self.place.address(), pause);
+        }
         loop {
             let address = self.place.address();
             line = line.filter(|l| l.address == address);
@@ -140,18 +172,21 @@
                     if std::mem::take(&mut failing) {
                         tracing::info!("discovery answers again");
                     }
+                    self.pace.answered();
                     told = Some((address, self.take(list)));
                 }
                 Err(e) => {
                     line = None;
                     if self.place.address() != address {
+                        self.pace.answered();
                         continue;
                     }
                     // Silence or nonsense, which is said once.
                     if !std::mem::replace(&mut failing, true) {
                         tracing::warn!("discovery: {e}; the list that is held goes on to hold");
                     }
-                    sleep(PAUSE);
+                    let pause = self.pace.failed();
+                    self.place.rest(address, pause);
                 }
             }
         }
@@ -163,8 +198,11 @@
             None => line.insert(self.place.connect()?),
         };
         let (path, wait) = match from {
-            None => ("/v1/servers".to_owned(), SILENCE),
-            Some(rev) => (format!("/v1/servers?from={rev}&hold_ms={}", HOLD.as_millis()), HOLD + SILENCE),
+            None => ("/v1/servers".to_owned(), self.silence),
+            Some(rev) => (
+                format!("/v1/servers?from={rev}&hold_ms={}", self.hold.as_millis()),
+                self.hold + self.silence,
+            ),
         };
         stream.get_ref().0.set_read_timeout(Some(wait))?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
