Budget a cold member by what tenants may ask, and give idle connections no thread

Checked: lines at each refusal (primary known, limit 8, out 0, cold 3 of 5). `cold_draw` (decide.rs) allows a cold member a part of what this router's own answers of warm ones were, per member, over 17 s. Ruled out: limits (room at all), the search (primary known), reach.

Change: a member can do at least its part of what the tenants' allowances grant all gateways together (settings), if that is more than was seen. Since that may be 0.9 of what it can do, what is saved up while nothing is sent now stays, with what accrues, within one window's budget; a whole window's was saved before.

Tests: 1, 3 and 100 routers that have seen nothing write to a cold primary: 0 sent in the first 1.5 s before, now at least 10 and less than the rule's budget (1 router: 100 of 96 with a whole window saved). 40 members met: threads fall to 15 at the most while 25 connections stay open; without the change they stay.

--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -3,6 +3,7 @@
 mod stand;
 
 use std::io::{Read, Write};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -67,3 +68,23 @@
     assert!(calls[..4].iter().all(|c| c.starts_with("/v1/servers?from=0&hold_ms=")), "{calls:?}");
     assert!(calls[4].starts_with("/v1/servers?from=7&hold_ms="), "{calls:?}");
 }
+
+/// Threads of a process.
+fn threads(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/task")).map_or(0, Iterator::count)
+}
+
+#[test]
+fn connections_that_stand_idle_have_no_threads() {
+    let (at, seen) = database("read-only", |_, _| Does::Say(tagged("one", "SELECT 1")));
+    let members = (1..=40).map(|n| target(&format!("s-{n:08x}"), at, "read-only", "active"));
+    let gateway = platform(&members.collect::<Vec<_>>().join(","), 60_000);
+    let mut client = Client::connect(gateway.address);
+    let open = || seen.opened.load(Ordering::SeqCst) - seen.closed.load(Ordering::SeqCst);
+    until("most members are met", || {
+        client.ask("/* id=1,c=read,t=acme,d=4000,cluster=0 */ SELECT body FROM objects");
+        open() >= 25
+    });
+    until("few threads are left", || threads(gateway.program.0.id()) <= 15);
+    assert!(open() >= 25, "the connections stay");
+}
--- a/crates/net/src/servers.rs
+++ b/crates/net/src/servers.rs
@@ -1,5 +1,5 @@
-//! Connections to servers: each has a thread, which connects, writes, reads the whole answer and tells the
-//! core. A connection carries one request at a time.
+//! Connections to servers. One that carries a request has a thread, which connects, writes, reads the whole answer and
+//! tells the core; one that stands idle has none. A connection carries one request at a time.
 
 use std::collections::HashMap;
 use std::io::{self, ErrorKind, Write};
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crossbeam_channel::{Receiver, Sender, bounded};
+use crossbeam_channel::Sender;
 use valehatch_policy::{Outcome, Time};
 
 use crate::Clock;
@@ -43,18 +43,13 @@
     stream: Option<Arc<TcpStream>>,
 }
 
-struct Handle {
-    jobs: Sender<Job>,
-    line: Arc<Mutex<Line>>,
-}
-
 /// All connections to servers.
 pub struct Servers {
     protocol: Arc<dyn Speaks>,
     events: Sender<Event>,
     clock: Clock,
     connect_timeout: Duration,
-    handles: HashMap<ConnId, Handle>,
+    handles: HashMap<ConnId, Arc<Link>>,
 }
 
 impl Servers {
@@ -64,30 +59,27 @@
 }
 
 impl Upstream for Servers {
-    /// Starts the thread of a connection; it connects when the first job comes.
+    /// Notes a connection; it connects when the first job comes.
     fn connect(&mut self, conn: ConnId, address: &Arc<str>) {
-        let (jobs, todo) = bounded(1);
-        let line = Arc::new(Mutex::new(Line::default()));
-        self.handles.insert(conn, Handle { jobs, line: Arc::clone(&line) });
-        let thread = Thread {
+        let link = Link {
             conn,
             address: address.parse().ok(),
             protocol: Arc::clone(&self.protocol),
             events: self.events.clone(),
             clock: self.clock,
             connect_timeout: self.connect_timeout,
-            line,
+            line: Mutex::default(),
+            held: Mutex::default(),
         };
-        // Without a thread the channel hangs up, which `submit` takes for a connection that never came up.
-        if let Err(e) = super::spawn("server", move || thread.run(&todo)) {
-            tracing::warn!("no thread for a connection to a server: {e}");
-        }
+        self.handles.insert(conn, Arc::new(link));
     }
 
-    /// Hands a job to an idle connection; its queue holds one, so this never waits.
+    /// Hands a job of an idle connection to a thread: one that stands idle has none, since a gateway of a large fleet
+    /// holds a connection to nearly every server and uses each seldom.
     fn submit(&mut self, conn: ConnId, job: Job) {
-        let Some(handle) = self.handles.get(&conn) else { return };
-        if handle.jobs.try_send(job).is_err() {
+        let Some(link) = self.handles.get(&conn).map(Arc::clone) else { return };
+        if let Err(e) = super::spawn("server", move || link.run(&job)) {
+            tracing::warn!("no thread for a connection to a server: {e}");
             let reply = Reply::bare(Outcome::ConnectFailed);
             // The core's own thread: its queue must not be waited for.
             if self.events.try_send(Event::Ended { conn, reply, reusable: false }).is_err() {
@@ -98,8 +90,8 @@
 
     /// Ends a connection, whatever it carries.
     fn close(&mut self, conn: ConnId) {
-        let Some(handle) = self.handles.remove(&conn) else { return };
-        let mut line = lock(&handle.line);
+        let Some(link) = self.handles.remove(&conn) else { return };
+        let mut line = lock(&link.line);
         line.ended = true;
         if let Some(stream) = line.stream.take() {
             let _ = stream.shutdown(Shutdown::Both);
@@ -107,42 +99,40 @@
     }
 }
 
-struct Thread {
+/// A connection, which carries one job at a time.
+struct Link {
     conn: ConnId,
     address: Option<SocketAddr>,
     protocol: Arc<dyn Speaks>,
     events: Sender<Event>,
     clock: Clock,
     connect_timeout: Duration,
-    line: Arc<Mutex<Line>>,
+    line: Mutex<Line>,
+    /// What the last job left for the next.
+    held: Mutex<Option<Arc<TcpStream>>>,
 }
 
-impl Thread {
-    fn run(self, todo: &Receiver<Job>) {
-        let mut held: Option<Arc<TcpStream>> = None;
-        for job in todo {
-            // A server that closed an idle connection, or started anew, shows it before anything is written:
-            // the request then goes over a new connection and has not been sent yet.
-            let stream = match held.take().filter(|s| quiet(s)) {
-                Some(stream) => Ok(stream),
-                None => self.open(),
-            };
-            let (reply, reusable) = match stream {
-                Err(outcome) => (Reply::bare(outcome), false),
-                Ok(stream) => {
-                    let (reply, reusable) = self.carry(&stream, &job);
-                    held = reusable.then_some(stream);
-                    (reply, reusable)
-                }
-            };
-            if !reusable {
-                lock(&self.line).stream = None;
-            }
-            let over = self.events.send(Event::Ended { conn: self.conn, reply, reusable }).is_err();
-            if over || !reusable {
-                return;
+impl Link {
+    fn run(&self, job: &Job) {
+        // A server that closed an idle connection, or started anew, shows it before anything is written:
+        // the request then goes over a new connection and has not been sent yet.
+        let held = lock(&self.held).take();
+        let stream = match held.filter(|s| quiet(s)) {
+            Some(stream) => Ok(stream),
+            None => self.open(),
+        };
+        let (reply, reusable) = match stream {
+            Err(outcome) => (Reply::bare(outcome), false),
+            Ok(stream) => {
+                let (reply, reusable) = self.carry(&stream, job);
+                *lock(&self.held) = reusable.then_some(stream);
+                (reply, reusable)
             }
+        };
+        if !reusable {
+            lock(&self.line).stream = None;
         }
+        let _ = self.events.send(Event::Ended { conn: self.conn, reply, reusable });
     }
 
     /// Connects and greets, within the one time limit for both.
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -889,10 +889,16 @@
         let rules = &self.cfg.rules;
         let Some(node) = self.nodes.get(&id) else { return false };
         let Some(part) = self.warm_part(node) else { return true };
-        let usual = self.served_now() / rules.cold.as_f64() * node.weight;
+        // What a member can do is at least what this router's warm ones do, and its part of what tenants may ask of
+        // all: a router that started anew, or seldom meets a member, has seen next to nothing of the former.
+        let size: f64 = self.nodes.values().filter(|n| n.state == NodeState::Ready).map(|n| n.weight).sum();
+        let quota = self.cfg.tenants.iter().map(|t| t.allowance).sum::<f64>() / f64::from(self.cfg.routers);
+        let usual = (self.served_now() / rules.cold.as_f64()).max(quota / 1e6 / size) * node.weight;
         let allowed = COLD_SAFETY * rules.tip_multiple * part * usual;
         let since = (self.now - node.credit_at.max(self.now - rules.tip_after)).as_f64();
-        let credit = (node.credit + allowed * since).min(allowed * rules.tip_after.as_f64());
+        // What is saved up and what accrues meanwhile stay within the budget of any one window.
+        let saved = allowed * rules.tip_after.as_f64() * (1.0 / COLD_SAFETY - 1.0);
+        let credit = (node.credit + allowed * since).min(saved);
         let granted = credit >= 1.0 || self.random() < credit;
         let Some(node) = self.nodes.get_mut(&id) else { return false };
         (node.credit, node.credit_at) = ((credit - 1.0).max(0.0), self.now);
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -566,6 +566,42 @@
     assert!(before > 200 && after > 0 && (after as f64) < limit, "{before} {after}");
 }
 
+/// Routers that have just started meet a primary that has too: 100 writes a second, of the 400 that tenants may ask of
+/// four members. What a member can do is taken to be its part of those.
+#[rstest::rstest]
+#[case(1)]
+#[case(3)]
+#[case(100)]
+fn routers_that_have_seen_nothing_yet_still_write_to_a_cold_primary_within_its_budget(#[case] routers: u32) {
+    let mut cfg = settings();
+    cfg.routers = routers;
+    cfg.tenants = vec![Tenant { allowance: 300.0 }, Tenant { allowance: 100.0 }];
+    let mut sent: Vec<Time> = vec![];
+    for seed in 0..routers {
+        let mut s = Script::group_seeded(cfg.clone(), 4, 1, seed.into());
+        let mut restarted = entry(1, true, NodeState::Ready);
+        restarted.started = Some(s.now);
+        s.list(false, vec![restarted]);
+        s.run(i64::from(seed) * 10 % 1_000);
+        let gap = 10 * i64::from(routers);
+        for id in 1..=(3_000 / gap).max(3) as u64 {
+            s.request(id, WRITE);
+            s.run(gap);
+            for id in 1..=id {
+                let end = s.at(id).and_then(|_| s.ended(id, Outcome::Ok, PRIMARY, None));
+                s.step(&end.into_iter().collect::<Vec<_>>());
+            }
+        }
+        sent.extend(s.all.iter().filter(|(_, a)| matches!(a, Action::Send { .. })).map(|(at, _)| *at));
+    }
+    let rules = settings().rules;
+    let first = Time(100_000_000);
+    let within = sent.iter().filter(|at| **at < first + rules.tip_after).count();
+    // By the end of that time it can do 0.32 of 100 a second.
+    let budget = rules.tip_multiple * 0.32 * 100.0 * rules.tip_after.as_f64() / 1e6;
+    assert!(within >= 10 && (within as f64) < budget, "{within} of {budget}, {} in all", sent.len());
+}
+
 #[test]
 fn a_router_with_nothing_waiting_asks_nothing() {
     let mut s = Script::group(settings(), 4, 1);
