--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -889,8 +889,8 @@
         let rules = &self.cfg.rules;
         let Some(node) = self.nodes.get(&id) else { return false };
         let Some(part) = self.warm_part(node) else { return true };
-        // What a member can do is at least what this router's warm ones do, and its part of what tenants may ask of
-        // all: a router that started anew, or seldom meets a member, has seen next to nothing of the former.
+        // What a member can do is at least what this router's warm ones do, and its part of what tenants may
+        // ask of all: a router that has just started, or seldom meets a member, has seen next to nothing.
         let size: f64 = self.nodes.values().filter(|n| n.state == NodeState::Ready).map(|n| n.weight).sum();
         let quota = self.cfg.tenants.iter().map(|t| t.allowance).sum::<f64>() / f64::from(self.cfg.routers);
         let usual = (self.served_now() / rules.cold.as_f64()).max(quota / 1e6 / size) * node.weight;
