Refuse a fleet size of 0 by its key

Need: shares by fleet size divide by it; the module said no more than that 'classes, routers, max_attempts and tick must be above 0'. Change: crates/config/src/settings.rs names fleet-size.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -166,7 +166,10 @@
         },
         sessions: text
             .choice("family-info.token-mode", &[("brought", Sessions::Brought), ("kept", Sessions::Kept)])?,
-        routers: text.number("fleet-size")?,
+        routers: match text.number("fleet-size")? {
+            0 => return Err("settings: fleet-size is 0, not a number of gateways from 1 on".into()),
+            gateways => gateways,
+        },
         zone: ZoneId(text.number("zone")?),
         tick: text.span("tick-ms")?,
         limits: Limits {
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -292,6 +292,7 @@
 #[case("\"max-attempts\":6", "\"max-attempts\":\"six\"", "limits.max-attempts")]
 #[case("\"connect-timeout-ms\":250.0", "\"connect-timeout-ms\":0", "limits.connect-timeout-ms")]
 #[case("\"tick-ms\":5.0,", "", "tick-ms")]
+#[case("\"fleet-size\":1", "\"fleet-size\":0", "fleet-size")]
 fn a_bad_configuration_is_told_by_its_key(#[case] good: &str, #[case] bad: &str, #[case] key: &str) {
     let path = folder().join("config.json");
     let text = config(free_address(), free_address(), "", 15_000);
