Draw slow members seldom where a router meets them seldom, and ask slower in a search

Change (decide.rs): a member's excess over the usual answer, by its last two or three, fading over the cold time, divides its part in the draw, the more the fewer answers a router has of each member (`heard`: at ten or more, as in small fleets, not at all). Pauses between questions to a member out of reach double up to 4 s, and end when the list says that it started anew; those of a search double up to 0.5 s times 1 + routers / members.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -19,6 +19,10 @@
 const SEARCH_PAUSE: Span = Span::from_millis(500);
 /// Smoothing of measured latencies and lags: the last ten or so samples count.
 const GAIN: f64 = 0.1;
+/// The same for how slow one member is: the last two or three answers, all that a router may have of it.
+const EXCESS_GAIN: f64 = 0.3;
+/// A member that answers so many times later than usual is as slow as any.
+const MOST_EXCESS: f64 = 9.0;
 /// Deviations above the mean at which one unanswered attempt counts as silence: answers vary widely.
 const PATIENCE_DEVS: f64 = 9.0;
 /// The part of the cold budget that is used, leaving the rest to estimates that are off.
@@ -33,6 +37,8 @@
 const STRAIN: (f64, f64) = (0.4, 0.7);
 /// Lost attempts and failed probes without an answer between them from which a node counts as out of reach.
 const DOUBTS: u32 = 3;
+/// How many times the first pause the pauses between questions to members grow to.
+const LONGEST_GAP: f64 = 8.0;
 /// A query that takes more than this part of the tightest bound on age is long.
 const LONG_PART: f64 = 0.7;
 
@@ -57,6 +63,9 @@
     out: BTreeMap<Attempt, Sent>,
     quiet_since: Option<Time>,
     limit: f64,
+    /// By how much its answers took longer than usual, in usual times, as of a time.
+    excess: f64,
+    excess_at: Time,
     /// The share of its answers of late that were errors or broke off.
     faults: f64,
     reach: Reach,
@@ -81,6 +90,8 @@
     doubts: u32,
     shut: Option<Shut>,
     again: Time,
+    /// Until it is asked once more after that.
+    gap: Span,
     /// When it came back from out of reach: it may have started anew, long before the list says so.
     revived: Option<Time>,
 }
@@ -100,7 +111,7 @@
     }
 
     fn shut(&mut self, why: Shut, now: Time) {
-        (self.shut, self.again) = (Some(why), now + SEARCH_PAUSE);
+        (self.shut, self.again, self.gap) = (Some(why), now + SEARCH_PAUSE, SEARCH_PAUSE);
     }
 }
 
@@ -110,6 +121,7 @@
     tried: BTreeSet<NodeId>,
     pause_until: Option<Time>,
     ask_at: Time,
+    gap: Span,
     began: Time,
 }
 
@@ -447,7 +459,8 @@
             group.believe(None, Known::Not, self.now);
             let (ask_at, began) = (self.now + Span(SEARCH_PAUSE.0 / 4), self.now);
             let tried = BTreeSet::from([id]);
-            group.search = Some(Search { leader: None, tried, pause_until: None, ask_at, began });
+            let gap = SEARCH_PAUSE;
+            group.search = Some(Search { leader: None, tried, pause_until: None, ask_at, gap, began });
         } else if let Some(search) = &mut group.search {
             search.tried.insert(id);
             search.leader.take_if(|(_, node, _)| *node == id);
@@ -471,9 +484,12 @@
             return;
         }
         let members = group.members.clone();
-        let pause = SEARCH_PAUSE.times(0.5 + self.random());
-        let search = self.groups.get_mut(&id).and_then(|g| g.search.as_mut());
-        search.into_iter().for_each(|s| s.ask_at = self.now + pause);
+        // The more routers there are for each member, the slower each asks when it has asked in vain.
+        let routers = f64::from(self.cfg.routers) / self.nodes.len().max(1) as f64;
+        let (jitter, most) = (0.5 + self.random(), 1.0 + routers.min(LONGEST_GAP));
+        let Some(search) = self.groups.get_mut(&id).and_then(|g| g.search.as_mut()) else { return };
+        search.ask_at = self.now + search.gap.times(jitter);
+        search.gap = Span(search.gap.0 * 2).min(SEARCH_PAUSE.times(most));
         members.into_iter().for_each(|member| self.probe(member, actions));
     }
 
@@ -531,7 +547,9 @@
             // Whether a member is within reach again is asked when something waits that it could serve.
             let Some(node) = self.nodes.get_mut(&member) else { continue };
             if node.reach.shut == Some(Shut::OutOfReach) && self.now >= node.reach.again {
-                node.reach.again = self.now + SEARCH_PAUSE;
+                // All routers ask the same dead member: each the more seldom the longer it stays so.
+                node.reach.again = self.now + node.reach.gap;
+                node.reach.gap = Span(node.reach.gap.0 * 2).min(SEARCH_PAUSE.times(LONGEST_GAP));
                 self.probe(member, actions);
             }
         }
@@ -718,6 +736,12 @@
         let fault = f64::from(u8::from(matches!(end.outcome, Outcome::Error | Outcome::Reset)));
         node.faults += GAIN * (fault - node.faults);
         let slow = end.latency > class.aim.times(SLOW_PART); // A client's haste proves nothing.
+        if !end.outcome.never_ran() && (end.outcome == Outcome::Ok || slow) {
+            let usual = self.class_latency[class_id.0];
+            let excess = (end.latency.as_f64() / usual - 1.0).clamp(0.0, MOST_EXCESS);
+            let before = faded(node.excess, self.now - node.excess_at, self.cfg.rules.cold);
+            (node.excess, node.excess_at) = (before + EXCESS_GAIN * (excess - before), self.now);
+        }
         let full = if end.outcome == Outcome::Full { STRAIN.1 } else { 0.0 };
         let part = (end.latency.as_f64() / class.aim.as_f64()).clamp(full, 2.0);
         if !end.outcome.never_ran() || end.outcome == Outcome::Full {
@@ -851,9 +875,14 @@
     /// Draws by what a node can do: its size, the warm part of it, how seldom it fails. Failing is quick and
     /// leaves little in flight, so that such a node would draw ever more.
     fn draw(&mut self, from: &[NodeId]) -> Option<NodeId> {
+        // Whoever meets a member often sees that it is slow in what is out there and in its limit; who meets
+        // it seldom has nothing out, and the last few answers.
+        let seldom = 2.0 * (1.0 - self.heard());
         let part = |id: &NodeId| {
             let node = &self.nodes[id];
-            node.weight * self.warm_part(node).unwrap_or(1.0) * (1.0 - node.faults).powi(4).max(GAIN.powi(2))
+            let excess = faded(node.excess, self.now - node.excess_at, self.cfg.rules.cold);
+            let fit = (1.0 - node.faults).powi(4).max(GAIN.powi(2)) / (1.0 + excess).powf(seldom);
+            node.weight * self.warm_part(node).unwrap_or(1.0) * fit
         };
         let parts: Vec<f64> = from.iter().map(part).collect();
         let mut at = self.random() * parts.iter().sum::<f64>();
@@ -878,6 +907,11 @@
         (grown < 1.0).then_some(rules.cold_from + (1.0 - rules.cold_from) * grown)
     }
 
+    /// How much this router's own answers of late tell of each member: from nothing to enough, 1.
+    fn heard(&self) -> f64 {
+        (self.served_now() * GAIN).min(1.0)
+    }
+
     fn served_now(&self) -> f64 {
         faded(self.served, self.now - self.served_at, self.cfg.rules.cold)
     }
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -602,6 +602,57 @@
     assert!(within >= 10 && (within as f64) < budget, "{within} of {budget}, {} in all", sent.len());
 }
 
+#[test]
+fn many_routers_that_meet_a_slow_member_seldom_each_draw_it_less() {
+    let mut cfg = settings();
+    cfg.routers = 100;
+    let (mut slow, mut all) = (0, 0);
+    for seed in 0..100 {
+        let mut s = Script::group_seeded(cfg.clone(), 4, 1, seed);
+        for id in 1..=12 {
+            s.request(id, ANY);
+            let at = s.at(id);
+            (slow, all) = (slow + usize::from(at == Some(3)), all + usize::from(at.is_some()));
+            s.run(if at == Some(3) { 500 } else { 50 });
+            let end = at.and_then(|_| s.ended(id, Outcome::Ok, REPLICA, None));
+            s.step(&end.into_iter().collect::<Vec<_>>());
+            s.run(500);
+        }
+    }
+    assert!(all > 1_000 && slow * 4 < all && slow > 20, "{slow} of {all}; a third without the rule");
+}
+
+#[test]
+fn a_member_out_of_reach_is_asked_ever_more_seldom_until_the_list_says_that_it_started_anew() {
+    let mut s = Script::group(settings(), 3, 1);
+    for id in 1..=30 {
+        s.request(id, ANY);
+        if s.at(id) == Some(3) {
+            s.end(id, Outcome::ConnectFailed, None);
+        }
+        let end = s.ended(id, Outcome::Ok, None, None);
+        s.step(&end.into_iter().collect::<Vec<_>>());
+    }
+    (0..3).for_each(|_| s.probed(3, Outcome::ConnectFailed, None));
+    s.probes.clear();
+    for id in 1_000..1_400 {
+        let asked = s.probes.len();
+        s.request(id, WRITE);
+        s.end(id, Outcome::Ok, PRIMARY);
+        if s.probes[asked..].contains(&NodeId(3)) {
+            s.probed(3, Outcome::ConnectFailed, None);
+        }
+        s.run(100);
+    }
+    let asked = s.probes.iter().filter(|n| **n == NodeId(3)).count();
+    assert!((5..20).contains(&asked), "{asked} times in 40 s; 80 without the rule");
+    let mut anew = entry(3, false, NodeState::Ready);
+    anew.started = Some(s.now - ms(10_000));
+    s.list(false, vec![anew]);
+    (2_000..2_040).for_each(|id| s.request(id, ANY));
+    assert!((2_000..2_040).any(|id| s.at(id) == Some(3)));
+}
+
 #[test]
 fn a_router_with_nothing_waiting_asks_nothing() {
     let mut s = Script::group(settings(), 4, 1);
