--- a/crates/pace/tests/pace.rs
+++ b/crates/pace/tests/pace.rs
@@ -45,6 +45,17 @@
     assert!(f64::from(most) <= 4.0 + 4.0 * gateways as f64 / 25.0, "{most} calls in 100 ms of {gateways}");
 }
 
+#[test]
+fn first_calls_of_a_fleet_are_spread_over_the_first_bound() {
+    let starts: Vec<Span> = (0..100).map(|n| Backoff::new(LONGEST, LONGEST, n).start()).collect();
+    let mut tenths = [0; 10];
+    for at in &starts {
+        assert!(*at >= Span(0) && *at < LONGEST, "{at:?}");
+        tenths[usize::try_from(at.0 * 10 / LONGEST.0).unwrap()] += 1;
+    }
+    assert!(tenths.iter().all(|n| *n <= 25), "{tenths:?} calls in each tenth");
+}
+
 #[test]
 fn pauses_grow_to_the_longest_and_are_short_again_after_an_answer() {
     let mut pace = Backoff::new(FIRST, LONGEST, 7);
