Answer what came in before a client's connection was ended, and say a last word on its end

Cause, by reading and by a test that brings it about at will: after end_if() a connection's reading thread took one more message (Gate::last in crates/net/src/clients.rs) and then ended; a query behind the startup message, or behind another query, was read and dropped. With SHUT_RD set, and both ways at the end, whatever came after was answered by a reset. A refusal for want of room was said with ReadyForQuery, and what the client then asked on that connection was read and thrown away for 0.3 s. Refusals for want of room end the session in the same words, after what is owed has been said. A planned stop ends 100 ms before the platform's kill, whoever still holds a connection.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,8 @@
 const SERVED_TENTHS: i64 = 9;
 /// What is still open so long before the end is given up.
 const LAST_WORD: Span = Span::from_millis(250);
+/// So long before it the program ends, whatever clients still hold open: they have been told, and are not waited for.
+const GONE: Span = Span::from_millis(100);
 /// A final answer leaves this long before the client stops waiting.
 const HEADSTART: Span = Span::from_millis(5);
 /// What is believed is published no more often than this for each member: it takes a microsecond or so.
@@ -49,6 +51,7 @@
     Unlisten,
     Stop,
     End,
+    Exit,
 }
 
 struct Held {
@@ -266,7 +269,12 @@
                 let longest = self.facts.settings.classes.iter().map(|c| c.deadline).max();
                 let end = longest.unwrap_or(LONGEST).min(LONGEST) + MORE;
                 let served = Span(end.0 / 10 * SERVED_TENTHS).max(STILL_TAKEN);
-                let all = [(STILL_TAKEN, Due::Unlisten), (served, Due::Stop), (end - LAST_WORD, Due::End)];
+                let all = [
+                    (STILL_TAKEN, Due::Unlisten),
+                    (served, Due::Stop),
+                    (end - LAST_WORD, Due::End),
+                    (end - GONE, Due::Exit),
+                ];
                 self.due.extend(all.map(|(after, what)| (now + after, what)));
             }
         }
@@ -554,6 +562,7 @@
             }
             Due::Unlisten => effects.push(Effect::StopListening),
             Due::Stop => self.stopped = true,
+            Due::Exit => effects.push(Effect::Exit),
             Due::End => {
                 for id in self.requests.keys().copied().collect::<Vec<_>>() {
                     let held = &self.requests[&id];
--- a/crates/cql/src/clients.rs
+++ b/crates/cql/src/clients.rs
@@ -247,4 +247,9 @@
     fn pipeline(&self) -> usize {
         64
     }
+
+    /// An error needs the stream of what it answers.
+    fn farewell(&self, _: Span) -> Vec<u8> {
+        vec![]
+    }
 }
--- a/crates/pg/src/clients.rs
+++ b/crates/pg/src/clients.rs
@@ -113,6 +113,13 @@
     out
 }
 
+/// The last word on a connection that is ended through no fault of its client.
+fn come_back(after: Span, text: &str) -> Vec<u8> {
+    let mut out = vec![];
+    pg::put_error(&mut out, "FATAL", "53300", text, Some(&(after.0 / 1000).max(1).to_string()));
+    out
+}
+
 impl Front {
     /// Takes the opening of a session; else the last word to the client, if it is owed one.
     fn open(from: &mut Incoming, session: &Session) -> io::Result<Result<(), Vec<u8>>> {
@@ -183,7 +190,7 @@
                 Ok(Some(ask)) => session.ask(ticket, ask)?,
                 Ok(None) => {
                     let after = self.site.settings.limits.max_retry_after;
-                    return Ok(self.encode(ticket, Answer::Refused { after, crowded: false }));
+                    return Ok(come_back(after, "refused: nothing ran, there is no room for it"));
                 }
                 Err(fault) => {
                     let word = Self::aside(query, &fault);
@@ -207,8 +214,7 @@
         };
         if !last.is_empty() {
             tracing::info!("a client is turned away: {}", pg::field(&last[5..], b'M').unwrap_or_default());
-            session.say(last)?;
-            from.drain();
+            from.finish(session, last)?;
         }
         Ok(())
     }
@@ -249,4 +255,8 @@
     fn pipeline(&self) -> usize {
         16
     }
+
+    fn farewell(&self, after: Span) -> Vec<u8> {
+        come_back(after, "the connection is ended; what was asked on it meanwhile did not run")
+    }
 }
