Say the last word on a connection only when it has rested: behind an answer it passes for a second

Cause: Line::note ended a connection marked as closing in the very moment in which its answer had been written, so the last word came along with the answer. Idle ends and ends for room come 2 s after the last answer; only planned stops were hit. Change: the reducer asks every 25 ms from then on for what has no open request to be ended, and a connection ends once it has rested for 100 ms; what comes in after everything open was answered is refused at once.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,8 @@
 const SERVED_TENTHS: i64 = 9;
 /// What is still open so long before the end is given up.
 const LAST_WORD: Span = Span::from_millis(250);
+/// How often, from when no more is to be served, connections are looked over for those that have come to rest.
+const CLOSE_EACH: Span = Span::from_millis(25);
 /// So long before it the program ends, whatever clients still hold open: they have been told, and are not waited for.
 const GONE: Span = Span::from_millis(100);
 /// A final answer leaves this long before the client stops waiting.
@@ -89,7 +91,6 @@
 #[derive(Default)]
 struct Client {
     open: BTreeSet<RequestId>,
-    closing: bool,
 }
 
 struct Conn {
@@ -125,6 +126,8 @@
     door_due: bool,
     stopping: bool,
     stopped: bool,
+    /// What is asked now is refused at once: the program is about to end.
+    ended: bool,
     turns: u64,
     /// The second that runs, and the requests of each tenant in it and in the one before.
     second: i64,
@@ -158,6 +161,7 @@
             next_conn: 0,
             stopping: false,
             stopped: false,
+            ended: false,
             turns: 0,
             second: 0,
             rates,
@@ -221,14 +225,8 @@
         let mut let_in = vec![];
         self.act_on_verdicts(now, &mut let_in, effects);
         self.pending.extend(let_in);
-        if self.stopped {
-            for (id, client) in self.clients.iter_mut().filter(|(_, c)| c.open.is_empty() && !c.closing) {
-                client.closing = true;
-                effects.push(Effect::CloseClient(*id));
-            }
-            if self.clients.is_empty() {
-                effects.push(Effect::Exit);
-            }
+        if self.stopped && self.clients.is_empty() {
+            effects.push(Effect::Exit);
         }
     }
 
@@ -317,14 +315,14 @@
     ) -> Option<Told> {
         self.count_asked(ask.tenant, now);
         let taken = ask.name.as_ref().is_some_and(|name| self.names.contains(name));
-        if taken || self.requests.len() >= self.facts.settings.limits.max_open {
+        let full = self.requests.len() >= self.facts.settings.limits.max_open;
+        if taken || full || self.ended {
+            let why = if full { Refusal::Open } else { Refusal::Stopping };
             let (how, answer) = if taken {
                 (Ending::Failed(Fault::Named), Answer::Failed(Failure::Named))
             } else {
-                (
-                    Ending::Refused(Refusal::Open),
-                    Answer::Refused { after: self.facts.come_back(ask.class), crowded: false },
-                )
+                let after = self.facts.come_back(ask.class);
+                (Ending::Refused(why), Answer::Refused { after, crowded: false })
             };
             self.record_unheld(ask.class, ask.tenant, ask.group, how, effects);
             effects.push(Effect::Answer { client, ticket, answer });
@@ -562,9 +560,15 @@
                 self.wake_door(now);
             }
             Due::Unlisten => effects.push(Effect::StopListening),
-            Due::Stop => self.stopped = true,
+            Due::Stop => {
+                self.stopped = true;
+                let idle = self.clients.iter().filter(|(_, c)| c.open.is_empty());
+                effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
+                self.due.insert((now + CLOSE_EACH, Due::Stop));
+            }
             Due::Exit => effects.push(Effect::Exit),
             Due::End => {
+                self.ended = true;
                 for id in self.requests.keys().copied().collect::<Vec<_>>() {
                     let held = &self.requests[&id];
                     let after = self.facts.come_back(held.class);
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -69,8 +69,6 @@
     idle: Span,
     /// Its reading thread waits until the client is owed less.
     waits: bool,
-    /// It is to end as soon as nothing is open.
-    closing: bool,
     /// The last word has been said, at a time; what still comes is taken in so that no reset tears that word away.
     over: Option<Time>,
     /// Nothing can be written to it any more.
@@ -138,15 +136,12 @@
         let mut gate = lock(&self.gate);
         what(&mut gate);
         gate.since = self.clock.now();
-        let (waits, closing) = (gate.waits, gate.closing);
+        let waits = gate.waits;
         drop(gate);
         // Each call costs the machine's time, whether anybody waits or not.
         if waits {
             self.eased.notify_all();
         }
-        if closing {
-            self.end_if(AT_ONCE, |g| g.closing);
-        }
     }
 
     /// Takes a place for something that the client is owed; waits while it is owed too much.
@@ -503,7 +498,6 @@
             since,
             idle: IDLE,
             waits: false,
-            closing: false,
             over: None,
             ended: false,
         };
@@ -548,11 +542,12 @@
         }
     }
 
-    /// Ends a connection, once all that came over it is answered.
+    /// Ends a connection if nothing is open on it and it has rested for a moment: a last word right behind an answer
+    /// would pass for a second answer.
     pub fn close(&self, client: ClientId) {
         let Some(line) = lock(&self.lines).get(&client).cloned() else { return };
-        lock(&line.gate).closing = true;
-        line.end_if(AT_ONCE, |_| true);
+        let settled = self.clock.now() - SETTLES;
+        line.end_if(AT_ONCE, |g| g.since < settled);
     }
 
     /// Takes no more connections.
@@ -605,7 +600,6 @@
             since: clock.now(),
             idle: IDLE,
             waits: false,
-            closing: false,
             over: None,
             ended: false,
         };
@@ -622,6 +616,24 @@
         (line, incoming, client)
     }
 
+    #[test]
+    fn no_last_word_follows_an_answer_at_once() {
+        let (events, _inbox) = crossbeam_channel::bounded(8);
+        let limits = Limits { connections: 1, bytes: 1024, watched: false };
+        let (line, _, mut client) = connection();
+        let clients = Clients::new(Arc::new(Mute), events, line.clock, limits);
+        lock(&clients.lines).insert(ClientId(1), Arc::clone(&line));
+        line.owe().unwrap();
+        line.put(None, b"answer;".to_vec());
+        clients.close(ClientId(1));
+        assert!(lock(&line.gate).over.is_none(), "it would pass for a second answer");
+        lock(&line.gate).since = line.clock.now() - SETTLES - Span::from_millis(1);
+        clients.close(ClientId(1));
+        let mut all = String::new();
+        client.read_to_string(&mut all).unwrap();
+        assert_eq!(all, "answer;1");
+    }
+
     #[test]
     fn what_has_come_in_keeps_its_connection_from_being_ended_message_by_message() {
         let (line, mut incoming, mut client) = connection();
