--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -35,8 +35,8 @@
 const SLOW_PART: f64 = 0.33;
 /// Mean part of the aim that answers take from which on some requests are refused, and where all would be.
 const STRAIN: (f64, f64) = (0.4, 0.7);
-/// Smoothing of that mean. Parts vary by 0.5 or so: over the last forty answers the mean is out by 0.08, half of the way
-/// between the two; over ten, as others are smoothed, by the whole way.
+/// Smoothing of that mean. Parts vary by 0.5 or so: over the last forty answers the mean is out by 0.08, a
+/// quarter of the way between the two; over ten, as others are smoothed, by half of it.
 const STRAIN_GAIN: f64 = GAIN / 2.0;
 /// The part of the time a connection may stand idle for which it is taken to stand.
 const STANDS: f64 = 0.75;
@@ -886,7 +886,7 @@
         // Whoever meets a member often sees that it is slow in what is out there and in its limit; who meets
         // it seldom has nothing out, and the last few answers.
         let seldom = 2.0 * (1.0 - self.heard());
-        // It would also need a new connection nearly each time: it goes on with those that stand and carry nothing.
+        // It would also need a new connection nearly each time: it goes on where one stands and carries nothing.
         let idle = self.cfg.limits.conn_idle.times(STANDS);
         let stands = |n: &Node| n.out.is_empty() && n.sent_at.is_some_and(|at| self.now - at < idle);
         let part = |id: &NodeId| {
