--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -886,7 +886,7 @@
         // Whoever meets a member often sees that it is slow in what is out there and in its limit; who meets
         // it seldom has nothing out, and the last few answers.
         let seldom = 2.0 * (1.0 - self.heard());
-        // It would also need a new connection nearly each time: it goes on where one stands and carries nothing.
+        // It would also need a new connection nearly each time: it goes on where one stands unused.
         let idle = self.cfg.limits.conn_idle.times(STANDS);
         let stands = |n: &Node| n.out.is_empty() && n.sent_at.is_some_and(|at| self.now - at < idle);
         let part = |id: &NodeId| {
