Answer what was asked before a half message before that message ends its connection

The end now waits until nothing is open; each answer begins the 2 s anew, so a drip still comes to its end.

--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -430,6 +430,22 @@
     assert_eq!(seen.count(), 0);
 }
 
+#[test]
+fn what_was_asked_before_half_a_message_is_answered_before_that_ends_its_connection() {
+    let (at, seen) = database("read-write", |_, q| {
+        // Longer than the half may stay half: its end used to take this answer along.
+        std::thread::sleep(Duration::from_millis(2_700));
+        Does::Say(echo(q))
+    });
+    let gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let mut client = Client::connect(gateway.address);
+    client.0.write_all(&[&asks(1..2)[..], b"Q\0\0\x01\0/* id="].concat()).unwrap();
+    assert_eq!(client.answer(), value("x1"));
+    assert!(parted(&client.answer()), "then the half is ended as silence is");
+    assert!(matches!(client.0.read(&mut [0]), Ok(0)));
+    assert_eq!(seen.count(), 1);
+}
+
 #[test]
 fn a_request_behind_others_that_has_no_room_is_refused_after_they_are_answered() {
     let (at, _) = database("read-write", |_, q| {
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -269,8 +269,9 @@
                 }
                 continue;
             }
-            // Half a message that comes to no end is ended as silence is, however it drips in.
-            if gate.reading && gate.since + IDLE < now {
+            // Half a message that comes to no end is ended as silence is, however it drips in; what was asked before it
+            // is answered first, and each answer begins that time anew.
+            if gate.reading && gate.open == 0 && gate.since + IDLE < now {
                 line.part(&mut gate, AT_ONCE);
                 continue;
             }
