Link gateways by UDP datagrams of 256 bytes where the operators' file has [peers]

crates/net/src/link.rs: version, channel and fleet in front of each datagram, networks that gateways may be in, counts of what is dropped, a clock that goes on while the machine sleeps. [peers] in the operators' file, each fault named by its key; SIGTERM tells the others. The live size of the fleet (never under the configured one) goes to the decision module and to the pace of calls to discovery. Off without [peers]; the platform's run has none.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,6 +1,7 @@
 //! The one place where configuration is read, checked and given defaults. What is wrong is told by its key.
 
 pub mod operators;
+pub mod peers;
 pub mod reader;
 pub mod settings;
 pub mod snmp;
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -10,6 +10,7 @@
 use toml_edit::DocumentMut;
 use valehatch_policy::{Entry, GroupId, KindId, NodeState, ZoneId};
 
+use super::peers::Peers;
 use super::reader::{Fault, Section, Source};
 use super::snmp::Snmp;
 use super::{Site, number};
@@ -159,6 +160,10 @@
     pub log: Log,
     /// `[state]`, unless nothing outlives the process.
     pub state: Option<State>,
+    /// `[peers]`, unless this gateway knows of no other.
+    pub peers: Option<Peers>,
+    /// Gateways in front of the same members, by the file.
+    pub routers: u32,
     /// `[door]`, unless requests are handed to the decision module as they come.
     pub door: Option<Door>,
     /// The budgets' shares, in the settings' order.
@@ -293,6 +298,11 @@
             root.put("state", state.done());
             read
         });
+        let peers = root.section_if("peers").map(|peers| {
+            let read = Peers::read(&peers);
+            root.put("peers", peers.done());
+            read
+        });
         let door = root.section_if("door").map(|door| {
             let buckets = door.whole("buckets", Some(4096), 1..=65_536);
             let read = Door {
@@ -329,7 +339,8 @@
             read
         });
         let shares = budgets.iter().map(|b| b.share).collect();
-        Some(Self { name, log: read_log, state, door, shares, fronts, snmp })
+        let routers = u32::try_from(routers).unwrap_or(1);
+        Some(Self { name, log: read_log, state, peers, routers, door, shares, fronts, snmp })
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -258,6 +258,7 @@
             Event::Ended { conn, reply, reusable } => {
                 told.extend(self.on_reply(now, conn, reply, reusable, effects));
             }
+            Event::Routers(count) => told.push(Told::Routers(count)),
             Event::Shares(shares) => {
                 if let Some(Err(what)) = self.door.as_mut().map(|door| door.set_shares(&shares)) {
                     effects.push(Effect::Note(Note::Shares(what)));
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -154,6 +154,8 @@
         reply: Reply,
         reusable: bool,
     },
+    /// So many gateways share the members now.
+    Routers(u32),
     /// Other shares of the tenants, where requests wait at a door.
     Shares(Vec<f64>),
     /// A planned stop.
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -12,6 +12,7 @@
 use valehatch_config::operators::{self, Members, Operators, Protocol};
 use valehatch_core::{Event, Watched};
 use valehatch_net::clients::Serves;
+use valehatch_net::link::Link;
 use valehatch_net::members::Named;
 use valehatch_net::servers::{Servers, Upstream};
 use valehatch_net::{Clock, list, members, signals};
@@ -111,6 +112,7 @@
         None
     };
     let agent = agent(&read, &made, writer.as_ref(), clock, began)?;
+    let fleet = Arc::new(AtomicU32::new(read.routers));
     let mut fronts = vec![];
     for (n, (front, made)) in read.fronts.iter().zip(&made).enumerate() {
         let watcher = writer.as_ref().map(|w| Watcher {
@@ -122,7 +124,8 @@
         let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32 ^ n as u64;
         if let Members::Discovery(address) = front.members {
             let place = Arc::new(list::Place::new(address));
-            let watch = list::Watch::new(place, front.site.clone(), clock, made.inbox.0.clone(), seed);
+            let (site, events) = (front.site.clone(), made.inbox.0.clone());
+            let watch = list::Watch::new(place, site, clock, events, Arc::clone(&fleet), seed);
             watch.start(&serde_json::Value::Null).map_err(|e| format!("front.{n}: {e}"))?;
         }
         let parts = Parts {
@@ -160,7 +163,15 @@
         .map_err(|e| format!("members: {e}"))?;
     drop(made);
     let reload = move || again.store(true, Ordering::Relaxed);
-    signals::watch(signals, events, reload).map_err(|e| format!("signals: {e}"))?;
+    let link = match read.peers.clone() {
+        Some(peers) => {
+            let seed = getrandom::u64().map_err(|e| format!("peers: no random number: {e}"))?;
+            Some(Link::start(peers, read.routers, seed, events.clone(), fleet)?)
+        }
+        None => None,
+    };
+    let leave = move || link.iter().for_each(|link| link.leave());
+    signals::watch(signals, events, reload, leave).map_err(|e| format!("signals: {e}"))?;
     info!("{}: serves {} front(s)", read.name, fronts.len());
     let cores: Vec<_> = fronts
         .into_iter()
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's front, told by the platform's JSON.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
 use std::time::Duration;
 
 use crossbeam_channel::bounded;
@@ -26,7 +27,8 @@
     valehatch_net::log::init(Log::default());
     let (clock, inbox) = (Clock::start(), bounded(QUEUE));
     let place = Arc::new(list::Place::new(discovery));
-    let watch = list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone(), seed);
+    let fleet = Arc::new(AtomicU32::new(site.settings.routers));
+    let watch = list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone(), fleet, seed);
     watch.start(&known).map_err(|e| format!("list: {e}"))?;
     // Discovery may move under way; all else is read at the start.
     let reload = move || match load(&path) {
@@ -36,7 +38,7 @@
         }
         Err(e) => warn!("{e}; what was read before goes on to hold"),
     };
-    signals::watch(signals, vec![inbox.0.clone()], reload).map_err(|e| format!("signals: {e}"))?;
+    signals::watch(signals, vec![inbox.0.clone()], reload, || {}).map_err(|e| format!("signals: {e}"))?;
     info!("{name}: serves the platform");
     let front = Arc::new(valehatch_pg::clients::Front { site: site.clone(), clock });
     let timeout = Duration::from_millis(site.connect_timeout_ms);
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -79,6 +79,11 @@
         self.signal("TERM");
     }
 
+    /// What it has logged.
+    pub fn log(&self) -> String {
+        self.1.lock().unwrap().clone()
+    }
+
     /// Waits until the log holds something.
     pub fn says(&self, what: &str) {
         until(what, || self.1.lock().unwrap().contains(what));
--- /dev/null
+++ b/crates/net/src/link.rs
@@ -0,0 +1,215 @@
+//! The link between gateways: datagrams of at most 256 bytes over UDP, each with a version, the fleet and a channel in front.
+//!
+//! Nothing here knows what is said, and who speaks on a channel knows neither sockets nor what is in front. A datagram that
+//! is not of this version and fleet, or comes from nowhere that a gateway may be, is counted and dropped.
+
+use std::hash::Hasher;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::Sender;
+use rustix::time::{ClockId, clock_gettime};
+use siphasher::sip::SipHasher13;
+use valehatch_config::peers::Peers;
+use valehatch_core::Event;
+use valehatch_membership::{Effect, Membership, Note, Settings};
+use valehatch_policy::{Span, Time};
+
+use crate::lock;
+
+/// Bytes of a datagram at the most.
+pub const MOST: usize = 256;
+/// The version that is spoken here; others are dropped.
+const VERSION: u8 = 1;
+/// What is in front: version, channel, fleet.
+const FRONT: usize = 6;
+/// The channel of membership.
+const MEMBERSHIP: u8 = 1;
+/// How long is waited for a datagram before the time is looked at again.
+const LOOK: Span = Span::from_millis(100);
+
+/// Why datagrams were dropped, by count.
+#[derive(Debug, Default)]
+pub struct Dropped {
+    /// From nowhere that a gateway may be.
+    pub foreign: AtomicU64,
+    /// Too long or too short.
+    pub size: AtomicU64,
+    /// Of another version, fleet, or an unknown channel.
+    pub other: AtomicU64,
+    /// Not sent: the machine would not take it.
+    pub unsent: AtomicU64,
+}
+
+/// Time that goes on while the machine sleeps: whoever stood still has to see that it did.
+fn now() -> Time {
+    let now = clock_gettime(ClockId::Boottime);
+    Time(now.tv_sec.saturating_mul(1_000_000).saturating_add(now.tv_nsec / 1000))
+}
+
+fn front(fleet: &str) -> [u8; FRONT] {
+    let mut hasher = SipHasher13::new();
+    hasher.write(fleet.as_bytes());
+    let [a, b, c, d, ..] = hasher.finish().to_be_bytes();
+    [VERSION, MEMBERSHIP, a, b, c, d]
+}
+
+/// The link, and the membership that speaks on it.
+pub struct Link {
+    socket: UdpSocket,
+    peers: Peers,
+    front: [u8; FRONT],
+    heart: Mutex<Membership>,
+    cores: Vec<Sender<Event>>,
+    /// Gateways by which what is shared is divided.
+    fleet: Arc<AtomicU32>,
+    pub dropped: Dropped,
+}
+
+impl Link {
+    /// Listens, and speaks from then on until the program ends. Whenever the size of the fleet changes, `cores` and `fleet`
+    /// are told.
+    ///
+    /// # Errors
+    /// The address cannot be listened on, or the settings cannot be worked with.
+    pub fn start(
+        peers: Peers,
+        configured: u32,
+        seed: u64,
+        cores: Vec<Sender<Event>>,
+        fleet: Arc<AtomicU32>,
+    ) -> Result<Arc<Self>, String> {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
+        let set = Settings {
+            me: peers.advertise,
+            seeds: peers.seeds.clone(),
+            period: Span::from_millis(peers.probe_ms),
+            most: peers.most,
+            bytes_s: peers.bytes_per_s,
+            configured,
+            settle: Span::from_millis(peers.settle_ms),
+        };
+        let heart = Membership::new(set, u64::try_from(wall).unwrap_or(0), seed, now());
+        let heart = heart.map_err(|e| format!("peers: {e}"))?;
+        let bound =
+            UdpSocket::bind(peers.listen).map_err(|e| format!("peers.listen: {}: {e}", peers.listen))?;
+        let front = front(&peers.fleet);
+        let dropped = Dropped::default();
+        let link = Self { socket: bound, peers, front, heart: Mutex::new(heart), cores, fleet, dropped };
+        let link = Arc::new(link);
+        let ours = Arc::clone(&link);
+        crate::spawn("peers", move || ours.run()).map_err(|e| format!("peers: {e}"))?;
+        tracing::info!("peers: listens on {}, known as {}", link.peers.listen, link.peers.advertise);
+        Ok(link)
+    }
+
+    /// This gateway is about to end: others are told.
+    pub fn leave(&self) {
+        let mut out = vec![];
+        lock(&self.heart).leave(now(), &mut out);
+        self.carry_out(out);
+    }
+
+    fn run(&self) {
+        let mut bytes = [0; MOST + 1];
+        loop {
+            let due = lock(&self.heart).next_due();
+            let wait = (due - now()).clamp(Span(1_000), LOOK);
+            let wait = Duration::from_micros(wait.0.unsigned_abs());
+            let came =
+                self.socket.set_read_timeout(Some(wait)).and_then(|()| self.socket.recv_from(&mut bytes));
+            let mut out = vec![];
+            let mut heart = lock(&self.heart);
+            match came {
+                Ok((length, from)) => {
+                    if let Some(said) = self.open(&bytes[..length], from) {
+                        heart.receive(now(), from, said, &mut out);
+                    }
+                }
+                // A port that nobody listens on any more is told of by an error: silence says the same.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(e) => {
+                    drop(heart);
+                    tracing::warn!("peers: {}: {e}", self.peers.listen);
+                    std::thread::sleep(Duration::from_millis(100));
+                    continue;
+                }
+            }
+            if heart.next_due() <= now() {
+                heart.tick(now(), &mut out);
+            }
+            let share = heart.share(true);
+            drop(heart);
+            self.carry_out(out);
+            if self.fleet.swap(share, Ordering::Relaxed) != share {
+                tracing::info!("peers: what is shared is divided by {share}");
+                self.cores.iter().for_each(|core| drop(core.send(Event::Routers(share))));
+            }
+        }
+    }
+
+    /// What a datagram says, if it may be heard.
+    fn open<'a>(&self, bytes: &'a [u8], from: SocketAddr) -> Option<&'a [u8]> {
+        let drop_for = |why: &AtomicU64| {
+            why.fetch_add(1, Ordering::Relaxed);
+            None
+        };
+        if !self.peers.allows(&from) {
+            return drop_for(&self.dropped.foreign);
+        }
+        if !(FRONT..=MOST).contains(&bytes.len()) {
+            return drop_for(&self.dropped.size);
+        }
+        match bytes.strip_prefix(&self.front) {
+            Some(said) => Some(said),
+            None => drop_for(&self.dropped.other),
+        }
+    }
+
+    fn carry_out(&self, out: Vec<Effect>) {
+        for effect in out {
+            match effect {
+                Effect::Send { to, bytes } => {
+                    let sent = if self.peers.allows(&to) {
+                        self.socket.send_to(&[&self.front[..], &bytes].concat(), to)
+                    } else {
+                        Err(io::Error::from(ErrorKind::PermissionDenied))
+                    };
+                    if sent.is_err() {
+                        self.dropped.unsent.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+                Effect::Note(note) => say(note),
+            }
+        }
+    }
+}
+
+fn say(note: Note) {
+    match note {
+        Note::Joined(peer) => tracing::info!("peers: {peer} is there"),
+        Note::Restarted(peer) => tracing::info!("peers: {peer} has started anew"),
+        Note::Suspected(peer) => tracing::info!("peers: {peer} does not answer"),
+        Note::Cleared(peer) => tracing::info!("peers: {peer} answers after all"),
+        Note::Failed(peer) => tracing::warn!("peers: {peer} counts as dead"),
+        Note::Left(peer) => tracing::info!("peers: {peer} has ended as planned"),
+        Note::Slept(span) => tracing::warn!("peers: this gateway stood still for {} ms", span.0 / 1000),
+        Note::Refuted => tracing::info!("peers: was taken for gone or for a former self, and says otherwise"),
+        Note::Synced => tracing::info!("peers: all that another gateway knew is known here"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn fleets_are_told_apart_in_front_and_all_fits_a_datagram() {
+        assert_ne!(front("vestera"), front("vestera-test"));
+        const { assert!(FRONT + valehatch_membership::wire::MOST <= MOST) };
+    }
+}
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
@@ -118,16 +119,22 @@
     clock: Clock,
     events: Sender<Event>,
     ids: HashMap<String, NodeId>,
-    hold: Duration,
+    /// Gateways that ask the same service.
+    fleet: Arc<AtomicU32>,
     /// How much longer an answer may take before the agent counts as silent.
     silence: Duration,
     pace: Backoff,
 }
 
 impl Watch {
-    pub fn new(place: Arc<Place>, site: Site, clock: Clock, events: Sender<Event>, seed: u64) -> Self {
-        let hold = valehatch_pace::hold(site.settings.routers, CALLS_S, HOLD.0, HOLD.1);
-        let hold = Duration::from_micros(hold.0.unsigned_abs());
+    pub fn new(
+        place: Arc<Place>,
+        site: Site,
+        clock: Clock,
+        events: Sender<Event>,
+        fleet: Arc<AtomicU32>,
+        seed: u64,
+    ) -> Self {
         let (asked, within) = (site.settings.list_mode == ListMode::Asked, site.settings.rules.ask_within);
         // Where all gateways ask one service, a call waits for its turn: hanging up early only wastes it. The rules
         // count a gateway as told that has not asked within that time, four times that after a call that failed.
@@ -138,7 +145,7 @@
             (SILENCE, (PAUSE, Span(within.0 / 4)))
         };
         let pace = Backoff::new(pace.0, pace.1, seed);
-        Self { place, site, clock, events, ids: HashMap::new(), hold, silence, pace }
+        Self { place, site, clock, events, ids: HashMap::new(), fleet, silence, pace }
     }
 
     /// Takes the list as it was last held, then watches from there on: what has changed since is far less than all.
@@ -199,10 +206,12 @@
         };
         let (path, wait) = match from {
             None => ("/v1/servers".to_owned(), self.silence),
-            Some(rev) => (
-                format!("/v1/servers?from={rev}&hold_ms={}", self.hold.as_millis()),
-                self.hold + self.silence,
-            ),
+            Some(rev) => {
+                let fleet = self.fleet.load(Ordering::Relaxed);
+                let hold = valehatch_pace::hold(fleet, CALLS_S, HOLD.0, HOLD.1);
+                let hold = Duration::from_micros(hold.0.unsigned_abs());
+                (format!("/v1/servers?from={rev}&hold_ms={}", hold.as_millis()), hold + self.silence)
+            }
         };
         stream.get_ref().0.set_read_timeout(Some(wait))?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
--- a/crates/net/src/signals.rs
+++ b/crates/net/src/signals.rs
@@ -11,11 +11,13 @@
     Signals::new([SIGTERM, SIGINT, SIGHUP])
 }
 
-/// Tells the core of a planned stop; `reload` reads the configuration again, as often as that is asked for.
+/// Tells the core of a planned stop, and others by `leave`; `reload` reads the configuration again, as often as that is
+/// asked for.
 pub fn watch(
     mut signals: Signals,
     events: Vec<Sender<Event>>,
     reload: impl Fn() + Send + 'static,
+    leave: impl Fn() + Send + 'static,
 ) -> std::io::Result<()> {
     super::spawn("signals", move || {
         for signal in signals.forever() {
@@ -24,6 +26,7 @@
                 continue;
             }
             tracing::info!("a planned stop was asked for");
+            leave();
             // A core that has ended already takes no more events.
             events.iter().for_each(|to| drop(to.send(Event::Terminate)));
         }
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -245,6 +245,7 @@
                 Event::Streaming(id) => self.open.get_mut(id).into_iter().for_each(|o| o.streaming = true),
                 Event::Ended(end) => self.on_ended(end, actions),
                 Event::Aborted(id) => self.finish(*id, actions),
+                Event::Routers(count) => self.cfg.routers = (*count).max(1),
                 Event::Timer(_) => self.wake_at = self.wake_at.filter(|at| *at > self.now),
                 Event::Probed { node, outcome, latency, report } => {
                     self.on_probed(*node, *outcome, *latency, report.as_ref());
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -420,6 +420,8 @@
     Ended(AttemptEnd),
     /// The client left; nothing more is owed.
     Aborted(RequestId),
+    /// So many routers there are now, 1 at the least.
+    Routers(u32),
     /// A timer fell due.
     Timer(u64),
     /// A probe came back.
