Begin a start with what the last one kept, trusted by source and age, and say when service is whole

After kill -9 with discovery out of reach a gateway had no list and refused all; a believed primary had to be searched anew.

Off without [state].

--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -80,6 +80,8 @@
     pub segments: usize,
     /// Records that may wait to be written.
     pub queue: usize,
+    /// How often what the next start begins with is written down, in milliseconds.
+    pub snapshot_ms: u64,
 }
 
 /// `[door]`: fair queues in front of the decision module.
@@ -357,6 +359,7 @@
         segment_bytes: state.whole("segment-kb", Some(65_536), 4..=4_194_304).unsigned_abs() * 1024,
         segments: state.size("segments", 8, 2..=10_000),
         queue: state.size("queue", 16_384, 16..=1_048_576),
+        snapshot_ms: ms("snapshot-ms", 1_000, 3_600_000),
     }
 }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -34,6 +34,7 @@
     pub names: Arc<Watched>,
     pub recorder: Recorder,
     pub board: Arc<ArcSwapOption<Board>>,
+    pub service: crate::recovery::Shared,
 }
 
 /// A door for a front, with the tenants' shares.
@@ -123,7 +124,10 @@
                 Effect::Note(Note::Shares(what)) => warn!("door: shares stay as they were: {what}"),
                 Effect::Note(Note::ServersFull(n)) => warn!("all {n} connections to servers are in use"),
                 Effect::Record(record) => {
-                    watcher.iter_mut().for_each(|w| w.recorder.record(record.clone()));
+                    if let Some(watcher) = &mut watcher {
+                        crate::recovery::answered(&watcher.service, clock, &record.ending);
+                        watcher.recorder.record(record.clone());
+                    }
                 }
                 Effect::Publish(live) => {
                     if let Some(watcher) = &mut watcher {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,6 +4,7 @@
 //! | module | holds |
 //! | --- | --- |
 //! | [`front`] | one front: its core on its loop, its clients and servers |
+//! | [`recovery`] | what the next start begins with, and whether this one's service is whole |
 //! | [`platform`] | the platform's front, told by the platform's JSON |
 //! | [`operators`] | all fronts of an operators' file, with ledger and agent |
 //! | [`snmp`] | `valehatch snmp …` |
@@ -11,6 +12,7 @@
 mod front;
 mod operators;
 mod platform;
+mod recovery;
 mod snmp;
 
 use std::path::PathBuf;
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,8 +1,8 @@
 //! All fronts of an operators' file, each on a core of its own, with the ledger and the agent that they share.
 
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,11 +17,13 @@
 use valehatch_net::servers::{Servers, Upstream};
 use valehatch_net::{Clock, list, members, signals};
 use valehatch_policy::Span;
+use valehatch_recovery::book::Book;
 use valehatch_snmp::Agent;
 use valehatch_snmp::world::{self, Board, World};
 use valehatch_state::Writer;
 
 use crate::front::{Front, Parts, QUEUE, Watcher, connections};
+use crate::recovery::{self, Keeper};
 
 /// How often what a core believes is published to the agent.
 const PUBLISH: Span = Span::from_millis(100);
@@ -92,6 +94,7 @@
     inbox: (Sender<Event>, Receiver<Event>),
     names: Arc<Watched>,
     board: Arc<ArcSwapOption<Board>>,
+    book: Arc<Mutex<Book>>,
 }
 
 pub fn serve(path: PathBuf) -> Result<(), String> {
@@ -102,7 +105,7 @@
     let made: Vec<Made> = read
         .fronts
         .iter()
-        .map(|f| Made { inbox: bounded(QUEUE), names: names(f), board: Arc::default() })
+        .map(|f| Made { inbox: bounded(QUEUE), names: names(f), board: Arc::default(), book: Arc::default() })
         .collect();
     let watched = read.snmp.is_some() || read.state.is_some();
     let writer = if watched {
@@ -111,14 +114,18 @@
     } else {
         None
     };
+    let kept = read.state.as_ref().and_then(|state| recovery::read(&state.dir, &read.name));
+    let service = recovery::service(&read, clock);
     let agent = agent(&read, &made, writer.as_ref(), clock, began)?;
     let fleet = Arc::new(AtomicU32::new(read.routers));
     let mut fronts = vec![];
+    let mut asking = 0;
     for (n, (front, made)) in read.fronts.iter().zip(&made).enumerate() {
         let watcher = writer.as_ref().map(|w| Watcher {
             names: Arc::clone(&made.names),
             recorder: w.recorder(),
             board: Arc::clone(&made.board),
+            service: Arc::clone(&service),
         });
         let speakers = speakers(front, clock, made.inbox.0.clone()).map_err(|e| format!("front.{n}: {e}"))?;
         let seed = clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32 ^ n as u64;
@@ -126,7 +133,15 @@
             let place = Arc::new(list::Place::new(address));
             let (site, events) = (front.site.clone(), made.inbox.0.clone());
             let watch = list::Watch::new(place, site, clock, events, Arc::clone(&fleet), seed);
-            watch.start(&serde_json::Value::Null).map_err(|e| format!("front.{n}: {e}"))?;
+            let (service, asks) = (Arc::clone(&service), asking);
+            asking += 1;
+            let confirmed = move || valehatch_net::lock(&service).confirmed(asks, clock.now());
+            let watch = watch.kept(Arc::clone(&made.book), confirmed);
+            let started = match recovery::restored(kept.as_ref(), &front.name).list {
+                Some((listed, told)) => watch.resume(listed, told),
+                None => watch.start(&serde_json::Value::Null),
+            };
+            started.map_err(|e| format!("front.{n}: {e}"))?;
         }
         let parts = Parts {
             site: front.site.clone(),
@@ -161,15 +176,21 @@
     };
     members::watch(path, &read, named.collect(), Arc::clone(&again), reread)
         .map_err(|e| format!("members: {e}"))?;
-    drop(made);
     let reload = move || again.store(true, Ordering::Relaxed);
     let link = match read.peers.clone() {
-        Some(peers) => {
+        Some(mut peers) => {
+            let known = recovery::fleet(kept.as_ref()).into_iter().filter(|a| peers.allows(a));
+            let known: Vec<_> = known.collect();
+            peers.seeds.extend(known);
             let seed = getrandom::u64().map_err(|e| format!("peers: no random number: {e}"))?;
             Some(Link::start(peers, read.routers, seed, events.clone(), fleet)?)
         }
         None => None,
     };
+    let keeps = made.iter().map(|m| (Arc::clone(&m.book), Arc::clone(&m.board))).collect();
+    let keeper = Keeper::start(&read, keeps, link.clone(), service, clock);
+    let keeper = keeper.map_err(|e| format!("recovery: {e}"))?;
+    drop(made);
     let leave = move || link.iter().for_each(|link| link.leave());
     signals::watch(signals, events, reload, leave).map_err(|e| format!("signals: {e}"))?;
     info!("{}: serves {} front(s)", read.name, fronts.len());
@@ -192,6 +213,7 @@
         thread::yield_now();
     }
     Arc::into_inner(agent).flatten().into_iter().for_each(Agent::finish);
+    keeper.into_iter().for_each(Keeper::finish);
     writer.into_iter().for_each(Writer::finish);
     Ok(())
 }
--- /dev/null
+++ b/crates/gateway/src/recovery.rs
@@ -0,0 +1,256 @@
+//! What the next start begins with, and whether this one's service is whole: the state folder's `snapshot` and
+//! `recovery.json`. A thread of its own looks and writes; no core waits for it.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwapOption;
+use tracing::{info, warn};
+use valehatch_accounts::Ending;
+use valehatch_config::operators::{Members, Operators};
+use valehatch_net::link::Link;
+use valehatch_net::{Clock, lock};
+use valehatch_policy::{Known, Settings, Time};
+use valehatch_recovery::book::Book;
+use valehatch_recovery::service::{Service, State};
+use valehatch_recovery::snapshot::{Cold, Front, MOST, Primary, Snapshot};
+use valehatch_recovery::trust::{Belief, Source, Trust, trust};
+use valehatch_recovery::{Restored, cold_since, restore};
+use valehatch_snmp::world::Board;
+use valehatch_state::snapshot;
+
+/// How often service is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+/// Gateways of the last run that are asked beside the seeds.
+const ASKED: usize = 8;
+
+/// Unix time in milliseconds.
+fn wall_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |d| u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// What was kept for this start, if it can be used; said in the log where it cannot.
+pub fn read(dir: &Path, gateway: &str) -> Option<Snapshot> {
+    let bytes = match snapshot::read(dir, MOST) {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => {
+            info!("recovery: no snapshot was kept");
+            return None;
+        }
+        Err(e) => {
+            warn!("recovery: the snapshot cannot be read: {e}");
+            return None;
+        }
+    };
+    match Snapshot::decode(&bytes, gateway, wall_ms()) {
+        Ok(read) => Some(read),
+        Err(why) => {
+            warn!("recovery: nothing is taken from the snapshot: {why}");
+            None
+        }
+    }
+}
+
+/// What of it goes for a front.
+pub fn restored(kept: Option<&Snapshot>, front: &str) -> Restored {
+    let Some(kept) = kept else { return Restored::default() };
+    let restored = restore(kept, front, wall_ms());
+    restored.left.iter().for_each(|why| info!("recovery: front {front}: {why}"));
+    if let Some((listed, (from, rev))) = &restored.list {
+        let (servers, hints) = (listed.len(), restored.primaries.len());
+        info!(
+            "recovery: front {front}: {servers} servers of {from} at version {rev}, {hints} primaries to try first"
+        );
+    }
+    restored
+}
+
+/// Gateways to ask beside the seeds.
+pub fn fleet(kept: Option<&Snapshot>) -> Vec<SocketAddr> {
+    let Some(kept) = kept else { return vec![] };
+    let age = wall_ms().checked_sub(kept.at_ms).and_then(|ms| i64::try_from(ms).ok());
+    let age = age.map(valehatch_policy::Span::from_millis);
+    let ask = trust(Belief::Fleet, Source::Snapshot, age) >= Trust::Guess;
+    kept.fleet.iter().copied().filter(|_| ask).take(ASKED).collect()
+}
+
+/// Service since this start, told by fronts and lists.
+pub type Shared = Arc<Mutex<Service>>;
+
+/// A request of a front had its final answer.
+pub fn answered(service: &Shared, clock: Clock, ending: &Ending) {
+    let served = match ending {
+        Ending::InTime | Ending::Late => true,
+        Ending::Refused(_) | Ending::Failed(_) => false,
+        Ending::Aborted => return,
+    };
+    lock(service).answered(served, clock.now());
+}
+
+/// A front's list and board.
+pub type Held = (Arc<Mutex<Book>>, Arc<ArcSwapOption<Board>>);
+
+struct Kept {
+    name: String,
+    book: Arc<Mutex<Book>>,
+    board: Arc<ArcSwapOption<Board>>,
+    settings: Settings,
+}
+
+/// Writes down what the next start begins with, until it is told to finish.
+pub struct Keeper {
+    over: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+struct Keeping {
+    dir: PathBuf,
+    gateway: String,
+    every: Duration,
+    fronts: Vec<Kept>,
+    link: Option<Arc<Link>>,
+    service: Shared,
+    clock: Clock,
+    began_ms: u64,
+    failing: bool,
+}
+
+/// Service of a start, in which fronts that ask discovery wait for its word.
+pub fn service(read: &Operators, clock: Clock) -> Shared {
+    let asks = read.fronts.iter().filter(|f| matches!(f.members, Members::Discovery(_))).count();
+    Arc::new(Mutex::new(Service::new(asks, clock.now())))
+}
+
+impl Keeper {
+    /// Begins; `fronts` are, in the file's order, the lists and the boards of the fronts. `None` without a state folder.
+    pub fn start(
+        read: &Operators,
+        fronts: Vec<Held>,
+        link: Option<Arc<Link>>,
+        service: Shared,
+        clock: Clock,
+    ) -> std::io::Result<Option<Self>> {
+        let Some(state) = &read.state else { return Ok(None) };
+        let kept = |(front, (book, board)): (&valehatch_config::operators::Front, Held)| Kept {
+            name: front.name.to_string(),
+            book,
+            board,
+            settings: front.site.settings.clone(),
+        };
+        let mut keeping = Keeping {
+            dir: state.dir.clone(),
+            gateway: read.name.to_string(),
+            every: Duration::from_millis(state.snapshot_ms),
+            fronts: read.fronts.iter().zip(fronts).map(kept).collect(),
+            link,
+            service,
+            clock,
+            began_ms: wall_ms(),
+            failing: false,
+        };
+        let over = Arc::new(AtomicBool::new(false));
+        let told = Arc::clone(&over);
+        let work = move || keeping.run(&told);
+        let thread =
+            std::thread::Builder::new().name("recovery".into()).stack_size(256 * 1024).spawn(work)?;
+        Ok(Some(Self { over, thread }))
+    }
+
+    /// The last one is written.
+    pub fn finish(self) {
+        self.over.store(true, Ordering::Relaxed);
+        let _ = self.thread.join();
+    }
+}
+
+impl Keeping {
+    fn run(&mut self, over: &AtomicBool) {
+        let first = lock(&self.service).state();
+        self.tell(first);
+        let mut written = Instant::now();
+        loop {
+            let last = over.load(Ordering::Relaxed);
+            let change = lock(&self.service).look(self.clock.now());
+            change.into_iter().for_each(|state| self.tell(state));
+            if last || written.elapsed() >= self.every {
+                written = Instant::now();
+                let bytes = self.snapshot().encode();
+                let done = bytes.map_or_else(
+                    || Err(std::io::Error::other("it is too large")),
+                    |bytes| snapshot::write(&self.dir, &bytes),
+                );
+                self.said(done);
+            }
+            if last {
+                return;
+            }
+            std::thread::sleep(LOOK);
+        }
+    }
+
+    /// Trouble is said once, and that it is over.
+    fn said(&mut self, done: std::io::Result<()>) {
+        match done {
+            Ok(()) if std::mem::take(&mut self.failing) => info!("recovery: snapshots are written again"),
+            Ok(()) => {}
+            Err(e) if !std::mem::replace(&mut self.failing, true) => {
+                warn!("recovery: no snapshot can be written, service goes on: {e}");
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn tell(&mut self, state: State) {
+        let told = match state {
+            State::Recovering(why) => {
+                info!("recovery: recovering, for want of: {}", why.name());
+                serde_json::json!({ "state": "recovering", "why": why.name(), "started-ms": self.began_ms })
+            }
+            State::Full { took, .. } => {
+                let took = took.0 / 1000;
+                info!("recovery: full, {took} ms after the start");
+                serde_json::json!({ "state": "full", "took-ms": took, "started-ms": self.began_ms })
+            }
+        };
+        let done = snapshot::replace(&self.dir, "recovery.new", "recovery.json", told.to_string().as_bytes());
+        self.said(done);
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let (at_ms, now) = (wall_ms(), self.clock.now());
+        let fronts = self.fronts.iter().map(|front| front.kept(at_ms, now)).collect();
+        let fleet = self.link.as_ref().map(|link| link.living()).unwrap_or_default();
+        Snapshot { gateway: self.gateway.clone(), at_ms, fronts, fleet }
+    }
+}
+
+impl Kept {
+    fn kept(&self, at_ms: u64, now: Time) -> Front {
+        let book = lock(&self.book).clone();
+        let board = self.board.load_full();
+        let live = board.as_ref().map(|b| &b.live);
+        let members = live.map(|l| l.members.as_slice()).unwrap_or_default();
+        let groups = live.map(|l| l.groups.as_slice()).unwrap_or_default();
+        let primaries = groups.iter().filter(|g| g.known != Known::Not).filter_map(|group| {
+            let member = members.iter().find(|m| Some(m.view.node) == group.primary)?;
+            let age_ms = u64::try_from((now - group.since).0 / 1000).unwrap_or(0);
+            Some(Primary {
+                group: group.group.0,
+                member: member.name.to_string(),
+                since_ms: at_ms.saturating_sub(age_ms),
+                proved: group.known != Known::List,
+            })
+        });
+        let rules = &self.settings.rules;
+        let cold = members.iter().filter_map(|member| {
+            let since_ms = cold_since(member.view.warm?, rules.cold, rules.cold_from, at_ms);
+            Some(Cold { member: member.name.to_string(), since_ms })
+        });
+        Front { name: self.name.clone(), book, primaries: primaries.collect(), cold: cold.collect() }
+    }
+}
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -113,6 +113,11 @@
         self.carry_out(out);
     }
 
+    /// The other gateways that are taken to live.
+    pub fn living(&self) -> Vec<SocketAddr> {
+        lock(&self.heart).living().collect()
+    }
+
     fn run(&self) {
         let mut bytes = [0; MOST + 1];
         loop {
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -13,6 +13,7 @@
 use valehatch_config::{Site, number};
 use valehatch_pace::Backoff;
 use valehatch_policy::{Entry, GroupId, KindId, ListMode, NodeId, NodeState, Span, ZoneId};
+use valehatch_recovery::book::{Book, Listed};
 
 use super::servers::place_ms;
 use crate::Clock;
@@ -34,26 +35,7 @@
 struct List {
     rev: u64,
     all: bool,
-    targets: Vec<Target>,
-}
-
-#[derive(Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: String,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u16,
-    state: String,
-    #[serde(default)]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: f64,
-    #[serde(default)]
-    mode: String,
+    targets: Vec<Listed>,
 }
 
 /// Where discovery answers, and the connection to it that is in use: a new address ends it at once, and a rest too.
@@ -124,6 +106,10 @@
     /// How much longer an answer may take before the agent counts as silent.
     silence: Duration,
     pace: Backoff,
+    /// The list as it is held, for the next start.
+    book: Arc<Mutex<Book>>,
+    /// Called whenever discovery itself has confirmed the list.
+    confirmed: Box<dyn Fn() + Send>,
 }
 
 impl Watch {
@@ -145,7 +131,32 @@
             (SILENCE, (PAUSE, Span(within.0 / 4)))
         };
         let pace = Backoff::new(pace.0, pace.1, seed);
-        Self { place, site, clock, events, ids: HashMap::new(), fleet, silence, pace }
+        Self {
+            place,
+            site,
+            clock,
+            events,
+            ids: HashMap::new(),
+            fleet,
+            silence,
+            pace,
+            book: Arc::default(),
+            confirmed: Box::new(|| {}),
+        }
+    }
+
+    /// Writes the list down as it is held, and tells of each time that discovery confirms it.
+    #[must_use]
+    pub fn kept(mut self, book: Arc<Mutex<Book>>, confirmed: impl Fn() + Send + 'static) -> Self {
+        (self.book, self.confirmed) = (book, Box::new(confirmed));
+        self
+    }
+
+    /// Takes the list as it was held before the last stop, then watches: from there on if the same discovery told it.
+    pub fn resume(mut self, listed: Vec<Listed>, told: (SocketAddr, u64)) -> io::Result<()> {
+        let rev = self.take(told.0, List { rev: told.1, all: true, targets: listed });
+        let held = (told.0 == self.place.address()).then_some((told.0, rev));
+        super::spawn("list", move || self.run(held))
     }
 
     /// Takes the list as it was last held, then watches from there on: what has changed since is far less than all.
@@ -154,9 +165,12 @@
         if !known.is_null() {
             match serde_json::from_value::<List>(known.clone()) {
                 Ok(list) if list.all && !list.targets.is_empty() => {
-                    held = Some((self.place.address(), self.take(list)));
+                    let address = self.place.address();
+                    held = Some((address, self.take(address, list)));
+                }
+                Ok(list) => {
+                    self.take(self.place.address(), list);
                 }
-                Ok(list) => drop(self.take(list)),
                 Err(e) => tracing::warn!("config: known is not a list of servers: {e}"),
             }
         }
@@ -180,7 +194,8 @@
                         tracing::info!("discovery answers again");
                     }
                     self.pace.answered();
-                    told = Some((address, self.take(list)));
+                    told = Some((address, self.take(address, list)));
+                    (self.confirmed)();
                 }
                 Err(e) => {
                     line = None;
@@ -223,11 +238,12 @@
         serde_json::from_slice(&body).map_err(|e| io::Error::other(format!("no list: {e}")))
     }
 
-    fn take(&mut self, list: List) -> u64 {
+    fn take(&mut self, from: SocketAddr, list: List) -> u64 {
+        lock(&self.book).take(from, list.rev, list.all, &list.targets);
         // Names come and go all day: those that the list no longer holds are forgotten with it.
         let named: HashSet<&str> = list.targets.iter().map(|t| t.uid.as_str()).collect();
         self.ids.retain(|uid, _| !list.all || named.contains(uid.as_str()));
-        let left = |t: &&Target| t.state == "left";
+        let left = |t: &&Listed| t.state == "left";
         let gone: Vec<String> = list.targets.iter().filter(left).map(|t| t.uid.clone()).collect();
         let members = list.targets.into_iter().filter_map(|t| self.member(t)).collect();
         self.ids.retain(|uid, _| !gone.contains(uid));
@@ -236,7 +252,7 @@
     }
 
     #[allow(clippy::cast_possible_truncation)]
-    fn member(&mut self, target: Target) -> Option<Member> {
+    fn member(&mut self, target: Listed) -> Option<Member> {
         let state = match target.state.as_str() {
             "active" => NodeState::Ready,
             "leaving" => NodeState::Draining,
