--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod membership;
 pub mod relay;
 pub mod report;
+pub mod stage;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,7 +10,7 @@
 use indicatif::ProgressBar;
 use valehatch_lab::experiment::{Experiment, Way};
 use valehatch_lab::world::{Outcome, World};
-use valehatch_lab::{load, membership, report};
+use valehatch_lab::{load, membership, report, stage};
 
 /// Experiments in virtual time.
 #[derive(Parser)]
@@ -33,6 +33,23 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Play several processes of the real program under a timetable of faults; write table, CSV and JSON.
+    Stage {
+        /// The experiment, in TOML.
+        experiment: PathBuf,
+        /// Seeds, such as 1..5 (both included) or 7.
+        #[arg(long, default_value = "1..5")]
+        seed: String,
+        /// The program.
+        #[arg(long, default_value = "target/release/valehatch")]
+        program: PathBuf,
+        /// Another build, played as `plain` in place of the program.
+        #[arg(long)]
+        before: Option<PathBuf>,
+        /// Where the results go.
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
     /// Run one seed again and print the last steps if a rule is broken.
     Replay {
         /// The experiment, in TOML.
@@ -135,6 +152,39 @@
     })
 }
 
+/// One play after the other: they share the machine's time.
+fn run_stage(
+    path: &Path,
+    seeds: &[u64],
+    program: &Path,
+    before: &Path,
+    out: Option<PathBuf>,
+) -> Result<(), String> {
+    let named = |e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| named(&e))?;
+    let plan = stage::Plan::parse(&text).map_err(|e| named(&e))?;
+    let mut rows = vec![];
+    for size in &plan.gateways {
+        for (seed, way) in seeds.iter().flat_map(|s| plan.ways.iter().map(move |w| (*s, *w))) {
+            let program = if way == stage::Way::Plain { before } else { program };
+            rows.push(plan.play(program, way, *size, seed)?);
+        }
+    }
+    print!("{}", stage::table(&rows));
+    let broken: Vec<String> = rows
+        .iter()
+        .flat_map(|r| r.broken.iter().map(|b| format!("{} seed {}: {b}", r.way, r.seed)))
+        .collect();
+    if let Some(dir) = out {
+        stage::write(&dir, &plan, &rows).map_err(|e| format!("{}: {e}", dir.display()))?;
+    }
+    if broken.is_empty() {
+        println!("{}: {} plays, no rule broken", plan.name, rows.len());
+        return Ok(());
+    }
+    Err(broken.join("\n"))
+}
+
 fn run(path: &Path, seeds: &[u64], out: Option<PathBuf>) -> Result<(), String> {
     match kind(path)?.as_deref() {
         Some("membership") => return run_membership(path, seeds, out),
@@ -168,6 +218,10 @@
 fn main() -> ExitCode {
     let outcome = match Arguments::parse().command {
         Command::Run { experiment, seeds: text, out } => seeds(&text).and_then(|s| run(&experiment, &s, out)),
+        Command::Stage { experiment, seed, program, before, out } => {
+            let before = before.unwrap_or_else(|| program.clone());
+            seeds(&seed).and_then(|s| run_stage(&experiment, &s, &program, &before, out))
+        }
         Command::Replay { experiment, seed, door, steps } => Experiment::load(&experiment).and_then(|plan| {
             let named = |name: &String| plan.doors.iter().find(|d| d.name() == name).copied();
             let way = match &door {
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -93,12 +93,12 @@
     }
 }
 
-fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+pub(crate) fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     let length = u32::try_from(body.len() + 4).unwrap_or(0).to_be_bytes();
     [&[kind], &length[..], body].concat()
 }
 
-fn pg_message(from: &mut impl Read) -> io::Result<(u8, Vec<u8>)> {
+pub(crate) fn pg_message(from: &mut impl Read) -> io::Result<(u8, Vec<u8>)> {
     let mut head = [0; 5];
     from.read_exact(&mut head)?;
     let length = u32::from_be_bytes([head[1], head[2], head[3], head[4]]);
@@ -154,15 +154,20 @@
             }
             Front::Postgresql => {
                 let text = format!("/* id=l{id},c=read,d=5000,cluster=0 */ SELECT pitch FROM pitches\0");
-                self.stream.write_all(&message(b'Q', text.as_bytes()))?;
-                let mut served = false;
-                loop {
-                    match pg_message(&mut self.from)?.0 {
-                        b'D' => served = true,
-                        b'Z' => return Ok(served),
-                        _ => {}
-                    }
-                }
+                self.query(&text).map(|value| value.is_some())
+            }
+        }
+    }
+
+    /// Asks over PostgreSQL's protocol and waits; the value, if it was served.
+    pub fn query(&mut self, text: &str) -> io::Result<Option<String>> {
+        self.stream.write_all(&message(b'Q', text.as_bytes()))?;
+        let mut value = None;
+        loop {
+            match pg_message(&mut self.from)? {
+                (b'D', body) => value = body.get(6..).map(|v| String::from_utf8_lossy(v).into_owned()),
+                (b'Z', _) => return Ok(value),
+                _ => {}
             }
         }
     }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -260,6 +260,38 @@
     Ok(())
 }
 
+/// Served of asked by second, each way's plays of the largest fleet added up.
+pub fn served(path: &Path, rows: &[crate::stage::Row]) -> Result<(), Box<dyn Error>> {
+    let area = SVGBackend::new(path, (900, 420)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let size = rows.iter().map(|r| r.gateways).max().unwrap_or(0);
+    let long = rows.iter().map(|r| r.curve.len()).max().unwrap_or(1) as f64 / 10.0;
+    let mut builder = ChartBuilder::on(&area);
+    let caption = format!("served of asked, {size} gateways, by second");
+    builder.margin(20).caption(caption, ("sans-serif", 18)).x_label_area_size(30).y_label_area_size(50);
+    let mut chart = builder.build_cartesian_2d(0.0..long, 0.0..1.05)?;
+    chart.configure_mesh().draw()?;
+    let mut ways: Vec<&str> = rows.iter().map(|r| r.way.as_str()).collect();
+    ways.sort_unstable();
+    ways.dedup();
+    for (n, way) in ways.into_iter().enumerate() {
+        let ours: Vec<_> = rows.iter().filter(|r| r.way == way && r.gateways == size).collect();
+        let bins = ours.iter().map(|r| r.curve.len()).min().unwrap_or(0);
+        let point = |bin: usize| {
+            let sum = ours.iter().map(|r| r.curve[bin]).fold((0, 0), |(a, s), (x, y)| (a + x, s + y));
+            (bin as f64 / 10.0, sum.1 as f64 / sum.0.max(1) as f64)
+        };
+        let colour = Palette99::pick(n).mix(0.9);
+        let series = chart.draw_series(LineSeries::new((0..bins).map(point), colour))?;
+        series
+            .label(way)
+            .legend(move |(x, y)| Rectangle::new([(x, y - 4), (x + 12, y + 4)], colour.filled()));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).draw()?;
+    area.present()?;
+    Ok(())
+}
+
 /// Compares two folders' results: the interval in which the difference of the means lies, by bootstrap over the seeds.
 pub fn compare(a: &Path, b: &Path) -> Result<String, Box<dyn Error>> {
     let read = |dir: &Path| -> Result<Vec<Line>, Box<dyn Error>> {
