--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, Builder, sleep};
 use std::time::{Duration, Instant, UNIX_EPOCH};
@@ -343,11 +343,17 @@
     }
 }
 
-/// A port that the machine gives nobody by itself, on an address of this play's own.
+/// The number of a play of this process: several may be under way.
+fn next_play() -> u32 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
+/// An address of this play's own, with a port that the machine gives nobody by itself.
 fn address(play: u32, n: usize) -> SocketAddr {
-    let (high, low) = (play / 200 % 50, play % 200);
-    let text = format!("127.{}.{}.{}:21000", 170 + high, low, 1 + n % 250);
-    text.parse().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 21_000)))
+    let process = std::process::id();
+    let ip = [127, (170 + process % 50) as u8, (play % 250) as u8, (1 + n % 250) as u8];
+    SocketAddr::from((ip, (21_000 + process / 50 % 5_000) as u16))
 }
 
 impl Plan {
@@ -409,8 +415,7 @@
     /// Plays one fleet with one seed.
     pub fn play(&self, program: &Path, way: Way, size: usize, seed: u64) -> Result<Row, String> {
         let named = |e: io::Error| format!("{}: {e}", self.name);
-        let play =
-            std::process::id().wrapping_mul(31).wrapping_add(seed as u32 * 7 + way as u32 * 3 + size as u32);
+        let play = next_play();
         let stage = Arc::new(Stage {
             began: Instant::now(),
             seen: Mutex::default(),
@@ -432,7 +437,7 @@
         let discovery = serve(&stage, any, move |s, c| s.discovery(&turn, takes, &list, c)).map_err(named)?;
         let fronts: Vec<SocketAddr> = (0..size).map(|n| address(play, n)).collect();
         let relays = Relays::start(fronts.clone(), seed).map_err(named)?;
-        let dir = std::env::temp_dir().join(format!("valehatch-stage-{play}"));
+        let dir = std::env::temp_dir().join(format!("valehatch-stage-{}-{play}", std::process::id()));
         std::fs::create_dir_all(&dir).map_err(named)?;
         let mut gateways = Gateways {
             program: program.to_owned(),
