--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -53,6 +53,9 @@
     /// The program, or several to be measured side by side.
     #[arg(long, value_delimiter = ',', default_value = "target/release/valehatch")]
     program: Vec<PathBuf>,
+    /// Parts of an operators' file for each program, in the same order; `-` for none.
+    #[arg(long, value_delimiter = ',')]
+    more: Vec<PathBuf>,
     /// Where the results go, as JSON.
     #[arg(long)]
     out: Option<PathBuf>,
@@ -99,6 +102,7 @@
         front: Front,
         members: &[SocketAddr],
         number: usize,
+        more: &str,
     ) -> Result<(Self, SocketAddr), String> {
         let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
         let listen = free.map_err(|e| format!("no free port: {e}"))?;
@@ -117,6 +121,7 @@
                 n == 0
             );
         }
+        text += more;
         let file = folder.join("gateway.toml");
         std::fs::write(&file, text).map_err(|e| format!("{}: {e}", file.display()))?;
         let child = Command::new(path)
@@ -314,7 +319,10 @@
                 };
                 let mut turn = vec![];
                 for (n, path) in self.program.iter().enumerate() {
-                    let (program, address) = Program::start(path, self.front, &members, n)?;
+                    let more = self.more.get(n).filter(|m| m.as_os_str() != "-");
+                    let more = more.map_or(Ok(String::new()), std::fs::read_to_string);
+                    let more = more.map_err(|e| format!("--more: {e}"))?;
+                    let (program, address) = Program::start(path, self.front, &members, n, &more)?;
                     turn.push(self.line(connections, path, address, &members, &program, direct_per_s)?);
                 }
                 lines.push(turn);
