--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -1,8 +1,8 @@
 //! All fronts of an operators' file, each on a core of its own, with the ledger and the agent that they share.
 
 use std::path::PathBuf;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,7 +17,6 @@
 use valehatch_net::servers::{Servers, Upstream};
 use valehatch_net::{Clock, list, members, signals};
 use valehatch_policy::Span;
-use valehatch_recovery::book::Book;
 use valehatch_snmp::Agent;
 use valehatch_snmp::world::{self, Board, World};
 use valehatch_state::Writer;
@@ -94,7 +93,6 @@
     inbox: (Sender<Event>, Receiver<Event>),
     names: Arc<Watched>,
     board: Arc<ArcSwapOption<Board>>,
-    book: Arc<Mutex<Book>>,
 }
 
 pub fn serve(path: PathBuf) -> Result<(), String> {
@@ -105,7 +103,7 @@
     let made: Vec<Made> = read
         .fronts
         .iter()
-        .map(|f| Made { inbox: bounded(QUEUE), names: names(f), board: Arc::default(), book: Arc::default() })
+        .map(|f| Made { inbox: bounded(QUEUE), names: names(f), board: Arc::default() })
         .collect();
     let watched = read.snmp.is_some() || read.state.is_some();
     let writer = if watched {
@@ -120,6 +118,7 @@
     let fleet = Arc::new(AtomicU32::new(read.routers));
     let mut fronts = vec![];
     let mut asking = 0;
+    let mut takers = vec![None; made.len()];
     for (n, (front, made)) in read.fronts.iter().zip(&made).enumerate() {
         let watcher = writer.as_ref().map(|w| Watcher {
             names: Arc::clone(&made.names),
@@ -136,7 +135,8 @@
             let (service, asks) = (Arc::clone(&service), asking);
             asking += 1;
             let confirmed = move || valehatch_net::lock(&service).confirmed(asks, clock.now());
-            let watch = watch.kept(Arc::clone(&made.book), confirmed);
+            takers[n] = Some(watch.taker());
+            let watch = watch.telling(confirmed);
             let started = match recovery::restored(kept.as_ref(), &front.name).list {
                 Some((listed, told)) => watch.resume(listed, told),
                 None => watch.start(&serde_json::Value::Null),
@@ -183,11 +183,13 @@
             let known: Vec<_> = known.collect();
             peers.seeds.extend(known);
             let seed = getrandom::u64().map_err(|e| format!("peers: no random number: {e}"))?;
-            Some(Link::start(peers, read.routers, seed, events.clone(), fleet)?)
+            let lists = fronts.iter().zip(&takers);
+            let lists = lists.filter_map(|((name, _), taker)| Some((Arc::clone(name), taker.clone()?)));
+            Some(Link::start(peers, read.routers, seed, events.clone(), fleet, lists.collect())?)
         }
         None => None,
     };
-    let keeps = made.iter().map(|m| (Arc::clone(&m.book), Arc::clone(&m.board))).collect();
+    let keeps = made.iter().zip(&takers).map(|(m, taker)| (taker.clone(), Arc::clone(&m.board))).collect();
     let keeper = Keeper::start(&read, keeps, link.clone(), service, clock);
     let keeper = keeper.map_err(|e| format!("recovery: {e}"))?;
     drop(made);
--- a/crates/gateway/src/recovery.rs
+++ b/crates/gateway/src/recovery.rs
@@ -13,9 +13,9 @@
 use valehatch_accounts::Ending;
 use valehatch_config::operators::{Members, Operators};
 use valehatch_net::link::Link;
+use valehatch_net::list::Taker;
 use valehatch_net::{Clock, lock};
 use valehatch_policy::{Known, Settings, Time};
-use valehatch_recovery::book::Book;
 use valehatch_recovery::service::{Service, State};
 use valehatch_recovery::snapshot::{Cold, Front, MOST, Primary, Snapshot};
 use valehatch_recovery::trust::{Belief, Source, Trust, trust};
@@ -92,12 +92,12 @@
     lock(service).answered(served, clock.now());
 }
 
-/// A front's list and board.
-pub type Held = (Arc<Mutex<Book>>, Arc<ArcSwapOption<Board>>);
+/// What takes a front's list in, where discovery tells it, and the front's board.
+pub type Held = (Option<Arc<Mutex<Taker>>>, Arc<ArcSwapOption<Board>>);
 
 struct Kept {
     name: String,
-    book: Arc<Mutex<Book>>,
+    taker: Option<Arc<Mutex<Taker>>>,
     board: Arc<ArcSwapOption<Board>>,
     settings: Settings,
 }
@@ -136,9 +136,9 @@
         clock: Clock,
     ) -> std::io::Result<Option<Self>> {
         let Some(state) = &read.state else { return Ok(None) };
-        let kept = |(front, (book, board)): (&valehatch_config::operators::Front, Held)| Kept {
+        let kept = |(front, (taker, board)): (&valehatch_config::operators::Front, Held)| Kept {
             name: front.name.to_string(),
-            book,
+            taker,
             board,
             settings: front.site.settings.clone(),
         };
@@ -231,7 +231,7 @@
 
 impl Kept {
     fn kept(&self, at_ms: u64, now: Time) -> Front {
-        let book = lock(&self.book).clone();
+        let book = self.taker.as_ref().map(|taker| lock(taker).held().0.clone()).unwrap_or_default();
         let board = self.board.load_full();
         let live = board.as_ref().map(|b| &b.live);
         let members = live.map(|l| l.members.as_slice()).unwrap_or_default();
--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -33,6 +33,10 @@
     }
 
     fn start(&self, every_ms: u32) -> Program {
+        self.start_with(every_ms, "")
+    }
+
+    fn start_with(&self, every_ms: u32, more: &str) -> Program {
         let path = folder().join("gateway.toml");
         let (front, dir, at) = (self.front, self.dir.display(), self.at);
         let contract = |name: &str, need: &str, effect: &str| {
@@ -41,7 +45,7 @@
             )
         };
         let text = format!(
-            "[gateway]\nname = \"one\"\n[log]\nlines-per-s = 100000\n[state]\ndir = \"{dir}\"\nsnapshot-ms = {every_ms}\n\
+            "[gateway]\nname = \"one\"\n[log]\nlines-per-s = 100000\n[state]\ndir = \"{dir}\"\nsnapshot-ms = {every_ms}\n{more}\
              [[front]]\nname = \"f\"\nprotocol = \"postgresql\"\nlisten = \"{front}\"\ndiscovery = \"{at}\"\n{}{}",
             contract("read", "any", "safe"),
             contract("once", "write", "unsafe"),
@@ -231,6 +235,35 @@
     *bytes = read.encode().unwrap();
 }
 
+#[test]
+fn with_its_folder_lost_and_discovery_silent_a_gateway_learns_the_list_and_its_drains_from_another() {
+    let (one, _) = database("read-write", |_, _| Does::Say(row("here")));
+    let (two, leaving) = database("read-only", |_, _| Does::Say(row("here")));
+    let list = [target("a", one, "read-write", "active"), target("b", two, "read-only", "leaving")].join(",");
+    let first = Site::new(list);
+    let (at, discovery) = (first.at, Arc::clone(&first.discovery));
+    let second = Site { front: free_address(), discovery, at, dir: folder().join("state") };
+    let (a, b) = (free_address(), free_address());
+    let peers = |own: SocketAddr, other: SocketAddr| {
+        format!("[peers]\nlisten = \"{own}\"\nfleet = \"test\"\nseeds = [\"{other}\"]\nprobe-ms = 150\n")
+    };
+    let _keeps = first.start_with(20, &peers(a, b));
+    until("served", || first.ask("read") == here());
+    let lost = second.start_with(20, &peers(b, a));
+    until("served by the other", || second.ask("read") == here());
+    kill(lost);
+    std::fs::remove_dir_all(&second.dir).unwrap();
+    second.silence(true);
+    let before = leaving.count();
+    let program = second.start_with(20, &peers(b, a));
+    program.says("2 servers at version 0 from another gateway");
+    (0..20).for_each(|_| assert_eq!(second.ask("read"), here()));
+    assert_eq!(leaving.count(), before, "one that leaves gets nothing new, whoever told of it");
+    assert!(second.is("recovering", "list"), "until discovery has confirmed it");
+    second.silence(false);
+    until("full", || second.is("full", "took-ms"));
+}
+
 #[test]
 fn a_folder_that_cannot_be_written_is_said_once_and_service_goes_on() {
     let (at, _) = database("read-write", |_, _| Does::Say(row("here")));
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -17,7 +17,9 @@
 use valehatch_core::Event;
 use valehatch_membership::{Effect, Membership, Note, Settings};
 use valehatch_policy::{Span, Time};
+use valehatch_recovery::peers as lists;
 
+use crate::list::Taker;
 use crate::lock;
 
 /// Bytes of a datagram at the most.
@@ -26,8 +28,9 @@
 const VERSION: u8 = 1;
 /// What is in front: version, channel, fleet.
 const FRONT: usize = 6;
-/// The channel of membership.
+/// The channels: membership, and lists asked of others.
 const MEMBERSHIP: u8 = 1;
+const LISTS: u8 = 2;
 /// How long is waited for a datagram before the time is looked at again.
 const LOOK: Span = Span::from_millis(100);
 
@@ -50,19 +53,28 @@
     Time(now.tv_sec.saturating_mul(1_000_000).saturating_add(now.tv_nsec / 1000))
 }
 
-fn front(fleet: &str) -> [u8; FRONT] {
+/// A number by which a name is known over gateways.
+fn mark(name: &str) -> u32 {
     let mut hasher = SipHasher13::new();
-    hasher.write(fleet.as_bytes());
-    let [a, b, c, d, ..] = hasher.finish().to_be_bytes();
-    [VERSION, MEMBERSHIP, a, b, c, d]
+    hasher.write(name.as_bytes());
+    u32::try_from(hasher.finish() >> 32).unwrap_or(0)
 }
 
+fn front(channel: u8, fleet: &str) -> [u8; FRONT] {
+    let [a, b, c, d] = mark(fleet).to_be_bytes();
+    [VERSION, channel, a, b, c, d]
+}
+
+/// The fronts whose lists are asked of others, and told to them: name, and what takes their lists in.
+pub type Lists = Vec<(Arc<str>, Arc<Mutex<Taker>>)>;
+
 /// The link, and the membership that speaks on it.
 pub struct Link {
     socket: UdpSocket,
     peers: Peers,
-    front: [u8; FRONT],
     heart: Mutex<Membership>,
+    asks: Mutex<lists::Peers>,
+    takers: Lists,
     cores: Vec<Sender<Event>>,
     /// Gateways by which what is shared is divided.
     fleet: Arc<AtomicU32>,
@@ -81,6 +93,7 @@
         seed: u64,
         cores: Vec<Sender<Event>>,
         fleet: Arc<AtomicU32>,
+        takers: Lists,
     ) -> Result<Arc<Self>, String> {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
         let set = Settings {
@@ -96,9 +109,10 @@
         let heart = heart.map_err(|e| format!("peers: {e}"))?;
         let bound =
             UdpSocket::bind(peers.listen).map_err(|e| format!("peers.listen: {}: {e}", peers.listen))?;
-        let front = front(&peers.fleet);
-        let dropped = Dropped::default();
-        let link = Self { socket: bound, peers, front, heart: Mutex::new(heart), cores, fleet, dropped };
+        let marks: Vec<u32> = takers.iter().map(|(name, _)| mark(name)).collect();
+        let asks = Mutex::new(lists::Peers::new(&marks, seed, now()));
+        let (heart, dropped) = (Mutex::new(heart), Dropped::default());
+        let link = Self { socket: bound, peers, heart, asks, takers, cores, fleet, dropped };
         let link = Arc::new(link);
         let ours = Arc::clone(&link);
         crate::spawn("peers", move || ours.run()).map_err(|e| format!("peers: {e}"))?;
@@ -121,7 +135,8 @@
     fn run(&self) {
         let mut bytes = [0; MOST + 1];
         loop {
-            let due = lock(&self.heart).next_due();
+            let asks = lock(&self.asks).next_due();
+            let due = asks.into_iter().fold(lock(&self.heart).next_due(), Time::min);
             let wait = (due - now()).clamp(Span(1_000), LOOK);
             let wait = Duration::from_micros(wait.0.unsigned_abs());
             let came =
@@ -129,11 +144,11 @@
             let mut out = vec![];
             let mut heart = lock(&self.heart);
             match came {
-                Ok((length, from)) => {
-                    if let Some(said) = self.open(&bytes[..length], from) {
-                        heart.receive(now(), from, said, &mut out);
-                    }
-                }
+                Ok((length, from)) => match self.open(&bytes[..length], from) {
+                    Some((MEMBERSHIP, said)) => heart.receive(now(), from, said, &mut out),
+                    Some((_, said)) => self.hear_of_lists(from, said),
+                    None => {}
+                },
                 // A port that nobody listens on any more is told of by an error: silence says the same.
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
@@ -150,6 +165,7 @@
             let share = heart.share(true);
             drop(heart);
             self.carry_out(out);
+            self.ask_for_lists();
             if self.fleet.swap(share, Ordering::Relaxed) != share {
                 tracing::info!("peers: what is shared is divided by {share}");
                 self.cores.iter().for_each(|core| drop(core.send(Event::Routers(share))));
@@ -157,8 +173,46 @@
         }
     }
 
-    /// What a datagram says, if it may be heard.
-    fn open<'a>(&self, bytes: &'a [u8], from: SocketAddr) -> Option<&'a [u8]> {
+    /// Whoever holds no list asks others for theirs.
+    fn ask_for_lists(&self) {
+        let wants = |n: usize| lock(&self.takers[n].1).held().0.told.is_none();
+        let mut out = vec![];
+        lock(&self.asks).tick(now(), wants, || self.living(), &mut out);
+        self.carry_out_lists(out);
+    }
+
+    fn hear_of_lists(&self, from: SocketAddr, said: &[u8]) {
+        let mut out = vec![];
+        let held: Vec<_> = self.takers.iter().map(|(_, taker)| lock(taker)).collect();
+        let tells = |n: usize| {
+            let (book, confirmed) = held.get(n)?.held();
+            Some((book, held[n].age(confirmed?)))
+        };
+        lock(&self.asks).receive(now(), from, said, tells, &mut out);
+        drop(held);
+        self.carry_out_lists(out);
+    }
+
+    fn carry_out_lists(&self, out: Vec<lists::Effect>) {
+        for effect in out {
+            match effect {
+                lists::Effect::Send { to, bytes } => self.send(LISTS, to, &bytes),
+                lists::Effect::Learned { front, listed, told } => {
+                    let (name, taker) = &self.takers[front];
+                    let count = listed.len();
+                    if lock(taker).guess(listed, told) {
+                        tracing::info!(
+                            "peers: front {name}: {count} servers at version {} from another gateway",
+                            told.1
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    /// What a datagram says, on which channel, if it may be heard.
+    fn open<'a>(&self, bytes: &'a [u8], from: SocketAddr) -> Option<(u8, &'a [u8])> {
         let drop_for = |why: &AtomicU64| {
             why.fetch_add(1, Ordering::Relaxed);
             None
@@ -169,25 +223,28 @@
         if !(FRONT..=MOST).contains(&bytes.len()) {
             return drop_for(&self.dropped.size);
         }
-        match bytes.strip_prefix(&self.front) {
-            Some(said) => Some(said),
-            None => drop_for(&self.dropped.other),
+        let channel = bytes[1];
+        match bytes.strip_prefix(&front(channel, &self.peers.fleet)) {
+            Some(said) if [MEMBERSHIP, LISTS].contains(&channel) => Some((channel, said)),
+            _ => drop_for(&self.dropped.other),
+        }
+    }
+
+    fn send(&self, channel: u8, to: SocketAddr, said: &[u8]) {
+        let sent = if self.peers.allows(&to) {
+            self.socket.send_to(&[&front(channel, &self.peers.fleet)[..], said].concat(), to)
+        } else {
+            Err(io::Error::from(ErrorKind::PermissionDenied))
+        };
+        if sent.is_err() {
+            self.dropped.unsent.fetch_add(1, Ordering::Relaxed);
         }
     }
 
     fn carry_out(&self, out: Vec<Effect>) {
         for effect in out {
             match effect {
-                Effect::Send { to, bytes } => {
-                    let sent = if self.peers.allows(&to) {
-                        self.socket.send_to(&[&self.front[..], &bytes].concat(), to)
-                    } else {
-                        Err(io::Error::from(ErrorKind::PermissionDenied))
-                    };
-                    if sent.is_err() {
-                        self.dropped.unsent.fetch_add(1, Ordering::Relaxed);
-                    }
-                }
+                Effect::Send { to, bytes } => self.send(MEMBERSHIP, to, &bytes),
                 Effect::Note(note) => say(note),
             }
         }
@@ -214,7 +271,7 @@
 
     #[test]
     fn fleets_are_told_apart_in_front_and_all_fits_a_datagram() {
-        assert_ne!(front("vestera"), front("vestera-test"));
-        const { assert!(FRONT + valehatch_membership::wire::MOST <= MOST) };
+        assert_ne!(front(MEMBERSHIP, "vestera"), front(MEMBERSHIP, "vestera-test"));
+        const { assert!(FRONT + valehatch_membership::wire::MOST <= MOST && FRONT + lists::MOST <= MOST) };
     }
 }
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 use valehatch_config::{Site, number};
 use valehatch_pace::Backoff;
-use valehatch_policy::{Entry, GroupId, KindId, ListMode, NodeId, NodeState, Span, ZoneId};
+use valehatch_policy::{Entry, GroupId, KindId, ListMode, NodeId, NodeState, Span, Time, ZoneId};
 use valehatch_recovery::book::{Book, Listed};
 
 use super::servers::place_ms;
@@ -94,20 +94,50 @@
     from: BufReader<Shared>,
 }
 
-/// Watches the list.
-pub struct Watch {
-    place: Arc<Place>,
+/// What takes lists in, whoever tells them, and hands them to the core.
+pub struct Taker {
     site: Site,
     clock: Clock,
     events: Sender<Event>,
     ids: HashMap<String, NodeId>,
+    /// The list as it is held.
+    book: Book,
+    /// When discovery itself has confirmed it.
+    confirmed_at: Option<Time>,
+}
+
+impl Taker {
+    /// What is held, and when discovery confirmed it, if it has.
+    pub const fn held(&self) -> (&Book, Option<Time>) {
+        (&self.book, self.confirmed_at)
+    }
+
+    /// How long ago that was.
+    pub fn age(&self, at: Time) -> Span {
+        self.clock.now() - at
+    }
+
+    /// Takes a list that somebody else than discovery told, unless one is held.
+    pub fn guess(&mut self, listed: Vec<Listed>, told: (SocketAddr, u64)) -> bool {
+        let none = self.book.told.is_none();
+        if none {
+            self.take(told.0, List { rev: told.1, all: true, targets: listed });
+        }
+        none
+    }
+}
+
+/// Watches the list.
+pub struct Watch {
+    place: Arc<Place>,
+    taker: Arc<Mutex<Taker>>,
+    asked: bool,
+    clock: Clock,
     /// Gateways that ask the same service.
     fleet: Arc<AtomicU32>,
     /// How much longer an answer may take before the agent counts as silent.
     silence: Duration,
     pace: Backoff,
-    /// The list as it is held, for the next start.
-    book: Arc<Mutex<Book>>,
     /// Called whenever discovery itself has confirmed the list.
     confirmed: Box<dyn Fn() + Send>,
 }
@@ -131,45 +161,41 @@
             (SILENCE, (PAUSE, Span(within.0 / 4)))
         };
         let pace = Backoff::new(pace.0, pace.1, seed);
-        Self {
-            place,
-            site,
-            clock,
-            events,
-            ids: HashMap::new(),
-            fleet,
-            silence,
-            pace,
-            book: Arc::default(),
-            confirmed: Box::new(|| {}),
-        }
+        let (ids, book, confirmed_at) = (HashMap::new(), Book::default(), None);
+        let taker = Arc::new(Mutex::new(Taker { site, clock, events, ids, book, confirmed_at }));
+        Self { place, taker, asked, clock, fleet, silence, pace, confirmed: Box::new(|| {}) }
     }
 
-    /// Writes the list down as it is held, and tells of each time that discovery confirms it.
+    /// What takes the lists in.
+    pub fn taker(&self) -> Arc<Mutex<Taker>> {
+        Arc::clone(&self.taker)
+    }
+
+    /// Tells of each time that discovery confirms the list.
     #[must_use]
-    pub fn kept(mut self, book: Arc<Mutex<Book>>, confirmed: impl Fn() + Send + 'static) -> Self {
-        (self.book, self.confirmed) = (book, Box::new(confirmed));
+    pub fn telling(mut self, confirmed: impl Fn() + Send + 'static) -> Self {
+        self.confirmed = Box::new(confirmed);
         self
     }
 
     /// Takes the list as it was held before the last stop, then watches: from there on if the same discovery told it.
-    pub fn resume(mut self, listed: Vec<Listed>, told: (SocketAddr, u64)) -> io::Result<()> {
-        let rev = self.take(told.0, List { rev: told.1, all: true, targets: listed });
+    pub fn resume(self, listed: Vec<Listed>, told: (SocketAddr, u64)) -> io::Result<()> {
+        let rev = lock(&self.taker).take(told.0, List { rev: told.1, all: true, targets: listed });
         let held = (told.0 == self.place.address()).then_some((told.0, rev));
         super::spawn("list", move || self.run(held))
     }
 
     /// Takes the list as it was last held, then watches from there on: what has changed since is far less than all.
-    pub fn start(mut self, known: &Value) -> io::Result<()> {
+    pub fn start(self, known: &Value) -> io::Result<()> {
         let mut held = None;
         if !known.is_null() {
             match serde_json::from_value::<List>(known.clone()) {
                 Ok(list) if list.all && !list.targets.is_empty() => {
                     let address = self.place.address();
-                    held = Some((address, self.take(address, list)));
+                    held = Some((address, lock(&self.taker).take(address, list)));
                 }
                 Ok(list) => {
-                    self.take(self.place.address(), list);
+                    lock(&self.taker).take(self.place.address(), list);
                 }
                 Err(e) => tracing::warn!("config: known is not a list of servers: {e}"),
             }
@@ -181,7 +207,7 @@
         let mut line: Option<Line> = None;
         // Versions belong to the address that told them: elsewhere the whole list is asked for first.
         let mut failing = false;
-        if self.site.settings.list_mode == ListMode::Asked {
+        if self.asked {
             let pause = self.pace.start();
             self.place.rest(self.place.address(), pause);
         }
@@ -194,7 +220,10 @@
                         tracing::info!("discovery answers again");
                     }
                     self.pace.answered();
-                    told = Some((address, self.take(address, list)));
+                    let mut taker = lock(&self.taker);
+                    told = Some((address, taker.take(address, list)));
+                    taker.confirmed_at = Some(self.clock.now());
+                    drop(taker);
                     (self.confirmed)();
                 }
                 Err(e) => {
@@ -237,9 +266,11 @@
         }
         serde_json::from_slice(&body).map_err(|e| io::Error::other(format!("no list: {e}")))
     }
+}
 
+impl Taker {
     fn take(&mut self, from: SocketAddr, list: List) -> u64 {
-        lock(&self.book).take(from, list.rev, list.all, &list.targets);
+        self.book.take(from, list.rev, list.all, &list.targets);
         // Names come and go all day: those that the list no longer holds are forgotten with it.
         let named: HashSet<&str> = list.targets.iter().map(|t| t.uid.as_str()).collect();
         self.ids.retain(|uid, _| !list.all || named.contains(uid.as_str()));
--- a/crates/recovery/src/lib.rs
+++ b/crates/recovery/src/lib.rs
@@ -6,11 +6,13 @@
 //! | [`snapshot`] | what is kept for the next start, and its form on a disk |
 //! | [`trust`] | each kind of belief by its source and age: held, a guess, or nothing |
 //! | [`restore`](restore()) | what a start takes over from a snapshot |
+//! | [`peers`] | the list asked of other gateways where none is held |
 //! | [`service`] | recovering or full, why, and how long it took |
 
 #![forbid(unsafe_code)]
 
 pub mod book;
+pub mod peers;
 mod restore;
 pub mod service;
 pub mod snapshot;
