--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -260,6 +260,20 @@
     Ok(())
 }
 
+/// A folder with the experiment, its results in JSON and a table; what the CSV holds is still to be written.
+pub fn folder(
+    dir: &Path,
+    plan: &impl Serialize,
+    rows: &impl Serialize,
+    table: &str,
+) -> Result<csv::Writer<fs::File>, Box<dyn Error>> {
+    fs::create_dir_all(dir)?;
+    fs::write(dir.join("experiment.toml"), toml::to_string(plan)?)?;
+    fs::write(dir.join("results.json"), serde_json::to_string(rows)?)?;
+    fs::write(dir.join("table.txt"), table)?;
+    Ok(csv::Writer::from_path(dir.join("results.csv"))?)
+}
+
 /// Served of asked by second, each way's plays of the largest fleet added up.
 pub fn served(path: &Path, rows: &[crate::stage::Row]) -> Result<(), Box<dyn Error>> {
     let area = SVGBackend::new(path, (900, 420)).into_drawing_area();
