Tell nobody a list dated before this gateway stood still, and look for that before any datagram

Found on rereading: lists are dated by a clock that stops while the machine sleeps, and a question for one was answered before the sleep was noticed. tests/peers.rs and the list test of tests/recovery.rs pass.

--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -655,7 +655,7 @@
     #[test]
     fn two_attempts_out_at_once_are_seen_and_one_behind_the_other_are_none() {
         let (stage, at) = stage();
-        let mut client = || Client::connect(Front::Postgresql, at).unwrap();
+        let client = || Client::connect(Front::Postgresql, at).unwrap();
         let (mut one, mut two) = (client(), client());
         for n in 0..50 {
             // One behind the other, over two connections.
--- a/crates/net/src/link.rs
+++ b/crates/net/src/link.rs
@@ -122,8 +122,12 @@
 
     /// This gateway is about to end: others are told.
     pub fn leave(&self) {
+        self.tend(|heart, out| heart.leave(now(), out));
+    }
+
+    fn tend(&self, what: impl FnOnce(&mut Membership, &mut Vec<Effect>)) {
         let mut out = vec![];
-        lock(&self.heart).leave(now(), &mut out);
+        what(&mut lock(&self.heart), &mut out);
         self.carry_out(out);
     }
 
@@ -141,11 +145,15 @@
             let wait = Duration::from_micros(wait.0.unsigned_abs());
             let came =
                 self.socket.set_read_timeout(Some(wait)).and_then(|()| self.socket.recv_from(&mut bytes));
-            let mut out = vec![];
-            let mut heart = lock(&self.heart);
+            // Whether this gateway has stood still comes before all else.
+            self.tend(|heart, out| {
+                if heart.next_due() <= now() {
+                    heart.tick(now(), out);
+                }
+            });
             match came {
                 Ok((length, from)) => match self.open(&bytes[..length], from) {
-                    Some((MEMBERSHIP, said)) => heart.receive(now(), from, said, &mut out),
+                    Some((MEMBERSHIP, said)) => self.tend(|heart, out| heart.receive(now(), from, said, out)),
                     Some((_, said)) => self.hear_of_lists(from, said),
                     None => {}
                 },
@@ -153,19 +161,12 @@
                 Err(e) if matches!(e.kind(), ErrorKind::ConnectionRefused | ErrorKind::Interrupted) => {}
                 Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
                 Err(e) => {
-                    drop(heart);
                     tracing::warn!("peers: {}: {e}", self.peers.listen);
                     std::thread::sleep(Duration::from_millis(100));
-                    continue;
                 }
             }
-            if heart.next_due() <= now() {
-                heart.tick(now(), &mut out);
-            }
-            let share = heart.share(true);
-            drop(heart);
-            self.carry_out(out);
             self.ask_for_lists();
+            let share = lock(&self.heart).share(true);
             if self.fleet.swap(share, Ordering::Relaxed) != share {
                 tracing::info!("peers: what is shared is divided by {share}");
                 self.cores.iter().for_each(|core| drop(core.send(Event::Routers(share))));
@@ -245,7 +246,13 @@
         for effect in out {
             match effect {
                 Effect::Send { to, bytes } => self.send(MEMBERSHIP, to, &bytes),
-                Effect::Note(note) => say(note),
+                Effect::Note(note) => {
+                    if matches!(note, Note::Slept(_)) {
+                        // The clock by which lists are dated may have stood still too.
+                        self.takers.iter().for_each(|(_, taker)| lock(taker).doubt());
+                    }
+                    say(note);
+                }
             }
         }
     }
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -117,6 +117,11 @@
         self.clock.now() - at
     }
 
+    /// How long ago discovery confirmed it is not known any more: it is told to nobody until that is done again.
+    pub const fn doubt(&mut self) {
+        self.confirmed_at = None;
+    }
+
     /// Takes a list that somebody else than discovery told, unless one is held.
     pub fn guess(&mut self, listed: Vec<Listed>, told: (SocketAddr, u64)) -> bool {
         let none = self.book.told.is_none();
