--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`size`] | how many gateways share what is shared |
 //! | `probe` | questions that are under way |
 //!
-//! Bounds: [`Settings::most`] gateways are known (of about 150 bytes each; one more is counted in [`Counts::full`] and
+//! Bounds: [`Settings::most`] gateways are known (one more is counted in [`Counts::full`] and
 //! not taken in), [`Settings::bytes_s`] are sent in a second in the mean and twice as many in any one second; what is beyond is not
 //! sent, which is as good as lost, and counted.
 
