Read up to 256 requests on a connection, so that none waits unread behind a slow one

At fault: Front::pipeline in crates/pg/src/clients.rs (16): what is behind the sixteenth lies unread, its time runs, and what its database is told is counted from when it was read. Memory stays bounded by the bytes of open requests and of answers on their way.

--- a/crates/pg/src/clients.rs
+++ b/crates/pg/src/clients.rs
@@ -107,6 +107,8 @@
     Last(Vec<u8>),
 }
 
+/// Requests that one connection may have open: the rest waits unread.
+const PIPELINE: usize = 256;
 /// Queries on a connection that may be beyond understanding before it is ended.
 const FAULTS: usize = 64;
 
@@ -268,9 +270,10 @@
         true
     }
 
-    /// Clients here ask one thing at a time; answers that wait for their turn take memory.
+    /// A request's time runs from when it was sent: one that is not read for what is before it loses what its client has
+    /// left, and tells its database more. The bytes of all that are open are bounded elsewhere.
     fn pipeline(&self) -> usize {
-        16
+        PIPELINE
     }
 
     fn farewell(&self, after: Span) -> Vec<u8> {
