Begin an attempt only by a permit that the core takes back when its reason has gone

By reading: an attempt that was decided on went out whenever its connection came up, at most connect-timeout and 0.1 s later, unless its own time was over. Meanwhile its client may have left (keyed and unsafe classes are not cancelled), its member may have been told to drain, the window for its repeat may have ended, or, where replicas check nothing, what was known of a replica's position may have grown too old.

At fault: Link::carry in crates/net/src/servers.rs wrote whatever was left to write; State::on_event (Disconnected) and on_list in crates/core did not touch attempts that were being dialled; Router::place measured the window at the decision only.

Now the core and whoever carries an attempt hold one Permit (crates/core/src/words.rs): the carrier uses it as the first byte is about to leave, the core revokes it when the client leaves, the request has its answer, or the member is no longer listed as ready; whoever comes first settles it. The module says until when an attempt may begin (Action::Send, begin_by). What was revoked has certainly not run: it is sent elsewhere at once, or refused where it would have been failed. A dial is bounded by the request's time.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -102,6 +102,8 @@
     used: Use,
     /// When what it carries is over.
     until: Time,
+    /// Of the attempt that it carries.
+    permit: Option<Permit>,
 }
 
 /// All that a gateway knows.
@@ -117,6 +119,8 @@
     idle: BTreeMap<NodeId, BTreeSet<(Time, ConnId)>>,
     /// Names and addresses.
     members: BTreeMap<NodeId, (Arc<str>, Arc<str>)>,
+    /// Those of them that take new work.
+    ready: BTreeSet<NodeId>,
     clients: BTreeMap<ClientId, Client>,
     due: BTreeSet<(Time, Due)>,
     /// What the router is told on the next turn: a turn steps it once.
@@ -158,6 +162,7 @@
             conns: BTreeMap::new(),
             idle: BTreeMap::new(),
             members: BTreeMap::new(),
+            ready: BTreeSet::new(),
             clients: BTreeMap::new(),
             due,
             pending: vec![],
@@ -239,7 +244,14 @@
 
     fn on_event(&mut self, now: Time, event: Event, told: &mut Vec<Told>, effects: &mut Vec<Effect>) {
         match event {
-            Event::List { complete, members } => told.push(self.on_list(complete, members, effects)),
+            Event::List { complete, members } => {
+                told.push(self.on_list(complete, members, effects));
+                // What was decided on before this and is still being dialled must not begin any more.
+                let barred = |(id, c): (&ConnId, &Conn)| (!self.ready.contains(&c.node)).then_some(*id);
+                for conn in self.conns.iter().filter_map(barred).collect::<Vec<_>>() {
+                    told.extend(self.call_off(now, conn, effects));
+                }
+            }
             Event::Connected(client) => {
                 self.clients.entry(client).or_default();
             }
@@ -257,7 +269,7 @@
                     if let Some(door) = &mut self.door {
                         door.abort(now, id, &mut self.verdicts);
                     }
-                    if let Some(held) = self.drop_request(id) {
+                    if let Some(held) = self.drop_request(now, id, effects) {
                         let known = held.queued.is_none();
                         self.record(now, held, Ending::Aborted, effects);
                         told.extend(known.then_some(Told::Aborted(id)));
@@ -315,6 +327,11 @@
             if entry.state != NodeState::Ready || moved {
                 self.close_idle(entry.node, effects);
             }
+            if entry.state == NodeState::Ready {
+                self.ready.insert(entry.node);
+            } else {
+                self.ready.remove(&entry.node);
+            }
             if entry.state == NodeState::Gone {
                 self.members.remove(&entry.node);
             } else {
@@ -327,6 +344,7 @@
             for node in self.members.keys().copied().filter(|n| !named.contains(n)).collect::<Vec<_>>() {
                 self.close_idle(node, effects);
                 self.members.remove(&node);
+                self.ready.remove(&node);
             }
         }
         Told::List { complete, entries }
@@ -506,12 +524,17 @@
         &mut self,
         now: Time,
         conn: ConnId,
-        reply: Reply,
+        mut reply: Reply,
         reusable: bool,
         effects: &mut Vec<Effect>,
     ) -> Option<Told> {
         let slot = self.conns.get_mut(&conn)?;
         let (node, used) = (slot.node, slot.used);
+        // What is given up before anything of it was written has not run.
+        let given_up = matches!(reply.outcome, Outcome::Timeout | Outcome::Cancelled);
+        if slot.permit.take().is_some_and(|permit| given_up && permit.revoke()) {
+            reply.outcome = Outcome::Moot;
+        }
         if !matches!(used, Use::Idle(_)) {
             slot.used = Use::Idle(now);
             self.idle.entry(node).or_default().insert((now, conn));
@@ -543,7 +566,8 @@
                             Outcome::Cancelled => Ending::Aborted,
                             _ => Ending::Failed(Fault::Broken),
                         };
-                        if let Some(held) = self.conclude(now, request, reply.outcome == Outcome::Ok) {
+                        let served = reply.outcome == Outcome::Ok;
+                        if let Some(held) = self.conclude(now, request, served, effects) {
                             self.record(at, held, how, effects);
                         }
                         true
@@ -658,7 +682,9 @@
             return;
         }
         match action {
-            Action::Send { request, node, timeout } => self.send(now, request, node, timeout, effects),
+            Action::Send { request, node, timeout, begin_by } => {
+                self.send(now, request, node, timeout, begin_by, effects);
+            }
             Action::Cancel { request, attempt } => {
                 let Some(conn) = self.attempts.get(&(request, attempt)).copied() else { return };
                 let end = self.on_reply(now, conn, Reply::bare(Outcome::Cancelled), false, effects);
@@ -706,6 +732,7 @@
         request: RequestId,
         node: NodeId,
         timeout: Option<Span>,
+        begin_by: Option<Time>,
         effects: &mut Vec<Effect>,
     ) {
         let limit = self.facts.settings.limits.max_attempts;
@@ -738,7 +765,18 @@
         };
         self.attempts.insert((request, attempt), conn);
         self.wait_until(conn, until);
-        effects.push(Effect::Submit { conn, job: Job::Run { payload, until } });
+        let permit = Permit::new(begin_by.map_or(until, |at| at.min(until)));
+        self.conns.get_mut(&conn).into_iter().for_each(|c| c.permit = Some(permit.clone()));
+        effects.push(Effect::Submit { conn, job: Job::Run { payload, until, permit } });
+    }
+
+    /// Ends the attempt that a connection carries if nothing of it was written yet; one that has begun goes on.
+    fn call_off(&mut self, now: Time, conn: ConnId, effects: &mut Vec<Effect>) -> Option<Told> {
+        let unwritten = self.conns.get(&conn)?.permit.as_ref().is_some_and(Permit::revoke);
+        if !unwritten {
+            return None;
+        }
+        self.on_reply(now, conn, Reply::bare(Outcome::Moot), false, effects)
     }
 
     /// The connection to a node that was used last, or a new one while the budget of descriptors lasts.
@@ -766,7 +804,7 @@
                 id
             }
         };
-        self.conns.insert(id, Conn { node, used, until: Time(i64::MAX) });
+        self.conns.insert(id, Conn { node, used, until: Time(i64::MAX), permit: None });
         Some(id)
     }
 
@@ -794,24 +832,35 @@
         }
     }
 
-    /// Forgets a request, with all that is kept for it.
-    fn drop_request(&mut self, id: RequestId) -> Option<Held> {
+    /// Forgets a request, with all that is kept for it: nothing begins for it from here on.
+    fn drop_request(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) -> Option<Held> {
         let held = self.requests.remove(&id)?;
         self.due.remove(&(held.deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
         held.name.iter().for_each(|name| drop(self.names.take(name)));
+        let out = self.attempts.range((id, 0)..=(id, u32::MAX)).map(|(_, conn)| *conn);
+        for conn in out.collect::<Vec<_>>() {
+            let end = self.call_off(now, conn, effects);
+            self.pending.extend(end);
+        }
         Some(held)
     }
 
     /// The one final answer of a request.
     fn answer(&mut self, now: Time, id: RequestId, answer: Answer, how: Ending, effects: &mut Vec<Effect>) {
-        let Some(held) = self.conclude(now, id, matches!(answer, Answer::Served(_))) else { return };
+        let Some(held) = self.conclude(now, id, matches!(answer, Answer::Served(_)), effects) else { return };
         effects.push(Effect::Answer { client: held.client, ticket: held.ticket, answer });
         self.record(now, held, how, effects);
     }
 
     /// Forgets a request that has had its final answer, wherever it is known.
-    fn conclude(&mut self, now: Time, id: RequestId, served: bool) -> Option<Held> {
-        let held = self.drop_request(id)?;
+    fn conclude(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        served: bool,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Held> {
+        let held = self.drop_request(now, id, effects)?;
         if let Some(client) = self.clients.get_mut(&held.client) {
             client.open.remove(&id);
         }
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -1,7 +1,7 @@
 //! What the core is told and what it asks for.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
 
 use valehatch_accounts::{Figures, Record, Refusal};
 use valehatch_door::{Settings as DoorSettings, Shown};
@@ -172,11 +172,48 @@
     Show,
 }
 
+/// Leave to write an attempt, held by the core and by whoever carries it. One uses it as the first byte is about to leave,
+/// the other takes it back when the attempt has lost its reason: its client has left, its member drains. Whoever comes
+/// first settles it, so that what was called off never begins, and what has begun is never taken for unsent.
+#[derive(Clone, Debug)]
+pub struct Permit {
+    state: Arc<AtomicU8>,
+    until: Time,
+}
+
+const OPEN: u8 = 0;
+const USED: u8 = 1;
+const REVOKED: u8 = 2;
+
+impl Permit {
+    /// Good up to this moment, that included: a dial may come up long after the attempt was decided on.
+    #[must_use]
+    pub fn new(until: Time) -> Self {
+        Self { state: Arc::new(AtomicU8::new(OPEN)), until }
+    }
+
+    /// Uses it: true if the attempt may be written now, once.
+    #[must_use]
+    pub fn take(&self, now: Time) -> bool {
+        now <= self.until && self.settle(USED)
+    }
+
+    /// Takes it back: true if nothing was written, and nothing will be.
+    #[must_use]
+    pub fn revoke(&self) -> bool {
+        self.settle(REVOKED)
+    }
+
+    fn settle(&self, state: u8) -> bool {
+        self.state.compare_exchange(OPEN, state, Ordering::AcqRel, Ordering::Acquire).is_ok()
+    }
+}
+
 /// What a connection is to carry.
 #[derive(Clone, Debug)]
 pub enum Job {
-    /// A request, and when the gateway stops waiting for its answer.
-    Run { payload: Arc<Payload>, until: Time },
+    /// A request, when the gateway stops waiting for its answer, and the leave to write it.
+    Run { payload: Arc<Payload>, until: Time, permit: Permit },
     /// The server is asked how it is.
     Probe,
 }
--- /dev/null
+++ b/crates/core/tests/begin.rs
@@ -0,0 +1,232 @@
+//! What may begin: leave to write an attempt is used once or taken back once, and the reducer takes it back at the moment at
+//! which the attempt loses its reason.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
+use valehatch_core::{
+    Answer, Ask, ClientId, ConnId, Effect, Event, Facts, Job, Member, Payload, Permit, Reply, Room, State,
+};
+use valehatch_policy::{
+    Checks, Class, DedupScope, Effect as Rerun, Entry, GroupId, KindId, Limits, ListMode, ListedRole, Need,
+    NodeId, NodeState, Outcome, Rules, Sessions, Settings, Span, Time, ZoneId,
+};
+
+const WRITE: usize = 0;
+const UNSAFE: usize = 1;
+
+fn ms(n: i64) -> Span {
+    Span::from_millis(n)
+}
+
+fn settings() -> Settings {
+    let class = |effect| Class {
+        need: Need::Write,
+        effect,
+        aim: ms(600),
+        aim_stretch: 0.0,
+        deadline: ms(3_000),
+        worth: 1.0,
+        late_worth: 0.3,
+    };
+    Settings {
+        classes: vec![class(Rerun::Keyed(DedupScope::Group, ms(2_000))), class(Rerun::Unsafe)],
+        tenants: vec![],
+        over_share_worth: None,
+        list_mode: ListMode::Pushed,
+        listed_role: ListedRole::Trailing,
+        checks: Checks::Off,
+        sessions: Sessions::Brought,
+        routers: 1,
+        zone: ZoneId(0),
+        tick: ms(5),
+        limits: Limits {
+            cancel: true,
+            probing: false,
+            second_copies: false,
+            retry_after: true,
+            max_attempts: 6,
+            max_retry_after: ms(500),
+            max_open: 1_000,
+            conn_idle: ms(15_000),
+        },
+        rules: Rules {
+            ask_within: ms(8_000),
+            cold_from: 0.2,
+            cold: ms(10_000),
+            tip_multiple: 2.0,
+            tip_after: ms(1_500),
+            removal_not_binding: false,
+        },
+    }
+}
+
+/// A reducer with one request that its member was asked to take.
+struct Scene {
+    state: State,
+    now: Time,
+    room: Arc<AtomicUsize>,
+    permit: Permit,
+    conn: ConnId,
+}
+
+fn member(id: u32, state: NodeState, primary: bool) -> Member {
+    let entry = Entry {
+        node: NodeId(id),
+        group: GroupId(0),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        weight: 1.0,
+        started: None,
+        primary,
+        state,
+    };
+    Member { entry, name: format!("s-{id}").into(), address: format!("127.0.0.1:{}", 9000 + id).into() }
+}
+
+fn submitted(effects: &[Effect]) -> Option<(ConnId, Permit)> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Submit { conn, job: Job::Run { permit, .. } } => Some((*conn, permit.clone())),
+        _ => None,
+    })
+}
+
+fn closed(effects: &[Effect], conn: ConnId) -> bool {
+    effects.iter().any(|e| matches!(e, Effect::Close(closed) if *closed == conn))
+}
+
+impl Scene {
+    fn new(class: usize) -> Self {
+        let facts = Facts {
+            door: None,
+            watched: None,
+            figures: None,
+            settings: settings(),
+            server_conns: 8,
+            probe_timeout: ms(250),
+        };
+        let mut state = State::new(facts, 1).unwrap();
+        let (now, room) = (Time(100_000_000), Arc::new(AtomicUsize::new(0)));
+        let ask = Ask {
+            name: Some("one".into()),
+            class,
+            tenant: None,
+            group: GroupId(0),
+            session: None,
+            patience: ms(2_000),
+            repeat: false,
+            wrote_at: None,
+            payload: Arc::new(Payload { bytes: vec![0; 10], write: true, class }),
+            room: Room::take(&room, 10, 100).unwrap(),
+            client: 1,
+        };
+        let list = Event::List { complete: true, members: vec![member(1, NodeState::Ready, true)] };
+        let asked = Event::Asked { client: ClientId(1), ticket: 0, ask };
+        let mut effects = vec![];
+        state.reduce(now, vec![list, Event::Connected(ClientId(1)), asked], &mut effects);
+        let (conn, permit) = submitted(&effects).expect("it goes to the primary at once");
+        Self { state, now, room, permit, conn }
+    }
+
+    fn turn(&mut self, after: i64, events: Vec<Event>) -> Vec<Effect> {
+        self.now = self.now + ms(after);
+        let mut effects = vec![];
+        self.state.reduce(self.now, events, &mut effects);
+        // What an end left for the next turn, which comes at once.
+        self.state.reduce(self.now, vec![], &mut effects);
+        self.state.check().unwrap();
+        effects
+    }
+}
+
+#[test]
+fn leave_is_used_or_taken_back_once_whoever_comes_first() {
+    let (now, end) = (Time(1), Time(10));
+    let permit = Permit::new(end);
+    assert!(permit.clone().take(now));
+    assert!(!permit.take(now), "once");
+    assert!(!permit.revoke(), "it has begun");
+    let permit = Permit::new(end);
+    assert!(permit.revoke());
+    assert!(!permit.revoke(), "once");
+    assert!(!permit.take(now), "it must not begin any more");
+    assert!(Permit::new(end).take(end), "its last moment counts");
+    let late = Permit::new(end);
+    assert!(!late.take(Time(11)));
+    assert!(late.revoke(), "nothing was written");
+}
+
+#[test]
+fn of_two_threads_one_has_its_way() {
+    for _ in 0..2_000 {
+        let permit = Permit::new(Time(10));
+        let other = permit.clone();
+        let took = thread::spawn(move || other.take(Time(1)));
+        let revoked = permit.revoke();
+        assert!(took.join().unwrap() != revoked);
+    }
+}
+
+#[test]
+fn what_was_not_written_when_its_client_left_is_called_off_and_all_it_held_is_given_back_once() {
+    for class in [WRITE, UNSAFE] {
+        let mut scene = Scene::new(class);
+        let effects = scene.turn(50, vec![Event::Disconnected(ClientId(1))]);
+        assert!(!scene.permit.take(scene.now), "it must not begin any more");
+        assert!(closed(&effects, scene.conn));
+        assert_eq!(scene.room.load(Ordering::Relaxed), 0, "its room is free");
+        // Whoever carried it says so as well, late.
+        let reply = Reply::bare(Outcome::Moot);
+        let ended = Event::Ended { conn: scene.conn, reply, reusable: true };
+        let effects = scene.turn(200, vec![ended, Event::Disconnected(ClientId(1))]);
+        assert!(effects.is_empty(), "{effects:?}");
+    }
+}
+
+#[test]
+fn what_was_written_goes_on_when_its_client_leaves() {
+    let mut scene = Scene::new(UNSAFE);
+    assert!(scene.permit.take(scene.now));
+    let effects = scene.turn(50, vec![Event::Disconnected(ClientId(1))]);
+    assert!(!closed(&effects, scene.conn), "it runs, and its member is not disturbed");
+    assert_eq!(scene.room.load(Ordering::Relaxed), 0);
+}
+
+#[test]
+fn what_was_not_written_when_its_member_drains_goes_elsewhere_at_once() {
+    for (state, complete) in [(NodeState::Draining, false), (NodeState::Gone, false), (NodeState::Gone, true)]
+    {
+        let mut scene = Scene::new(UNSAFE);
+        let mut members = vec![member(2, NodeState::Ready, true)];
+        if !complete {
+            members.push(member(1, state, false));
+        }
+        let effects = scene.turn(50, vec![Event::List { complete, members }]);
+        assert!(!scene.permit.take(scene.now), "{state:?}: it must not begin there any more");
+        let (conn, _) = submitted(&effects).expect("the other one has it at once");
+        assert_ne!(conn, scene.conn);
+    }
+}
+
+#[test]
+fn what_was_written_to_a_member_that_drains_is_waited_for() {
+    let mut scene = Scene::new(UNSAFE);
+    assert!(scene.permit.take(scene.now));
+    let members = vec![member(1, NodeState::Draining, false), member(2, NodeState::Ready, true)];
+    let effects = scene.turn(50, vec![Event::List { complete: false, members }]);
+    assert!(submitted(&effects).is_none(), "it may have run");
+    let reply = Reply { body: Some(b"done".to_vec()), ..Reply::bare(Outcome::Ok) };
+    let effects = scene.turn(50, vec![Event::Ended { conn: scene.conn, reply, reusable: true }]);
+    assert!(effects.iter().any(|e| matches!(e, Effect::Answer { answer: Answer::Served(_), .. })));
+}
+
+#[test]
+fn a_dial_that_never_came_up_in_time_has_not_run() {
+    let mut scene = Scene::new(UNSAFE);
+    // Half of its time is over: what was never written is refused, which is harmless, and not failed.
+    let effects: Vec<Effect> = (0..50).flat_map(|_| scene.turn(50, vec![])).collect();
+    let answers: Vec<_> = effects.iter().filter(|e| matches!(e, Effect::Answer { .. })).collect();
+    assert!(matches!(answers[..], [Effect::Answer { answer: Answer::Refused { .. }, .. }]), "{answers:?}");
+    assert!(!scene.permit.take(scene.now));
+}
--- a/crates/cql/src/exchange.rs
+++ b/crates/cql/src/exchange.rs
@@ -37,12 +37,24 @@
     /// The statement that the node is being told again.
     telling: Option<Vec<u8>>,
     told: u32,
+    /// The leave to write it is used.
+    permitted: bool,
 }
 
 impl Exchange {
     /// A job that is submitted now.
     pub const fn new(job: Job, now: Time) -> Self {
-        Self { job, began: now, telling: None, told: 0 }
+        Self { job, began: now, telling: None, told: 0, permitted: false }
+    }
+
+    /// Whether it may be written now. What goes to another connection because its first one was lost before it left has
+    /// its leave already.
+    pub fn may_begin(&mut self, now: Time) -> bool {
+        self.permitted |= match &self.job {
+            Job::Run { permit, .. } => permit.take(now),
+            Job::Probe => true,
+        };
+        self.permitted
     }
 
     /// What is asked first; its stream is set by whoever sends it.
--- a/crates/cql/src/nodes.rs
+++ b/crates/cql/src/nodes.rs
@@ -235,6 +235,13 @@
                         }
                     }
                     Do::Send { link, stream, job } => {
+                        let now = self.context.clock.now();
+                        if inner.exchanges.get_mut(&job).is_some_and(|e| !e.may_begin(now)) {
+                            inner.exchanges.remove(&job);
+                            inner.streams.cancel(now, job, &mut todo);
+                            told.push(ended(job, Reply::bare(Outcome::Moot)));
+                            continue;
+                        }
                         let asked = inner.exchanges.get(&job).map(|e| (e.opening(), e.class()));
                         if let (Some(line), Some((frame, class))) = (inner.links.get_mut(&link), asked) {
                             line.queue.push_back(Queued::new(stream, frame, class));
@@ -571,7 +578,7 @@
     use std::sync::mpsc;
 
     use super::*;
-    use valehatch_core::Payload;
+    use valehatch_core::{Payload, Permit};
 
     #[test]
     fn a_connection_with_a_spoilt_answer_has_ended_before_the_core_hears_of_it() {
@@ -599,7 +606,7 @@
             let payload = Arc::new(Payload { bytes: query, write: true, class: 0 });
             let until = Clock::start().now() + Span::from_millis(60_000);
             nodes.connect(ConnId(n), &address);
-            nodes.submit(ConnId(n), Job::Run { payload, until });
+            nodes.submit(ConnId(n), Job::Run { payload, until, permit: Permit::new(until) });
             nodes.flush();
             ends.recv_timeout(patience).expect("what the core sends next cannot go out on it");
             let told = inbox.recv_timeout(patience).unwrap();
--- a/crates/drill/src/frames.rs
+++ b/crates/drill/src/frames.rs
@@ -335,7 +335,7 @@
         self.of(inst);
         for action in actions {
             match action {
-                Action::Send { request, node, timeout } => {
+                Action::Send { request, node, timeout, .. } => {
                     let wait = millis(timeout.map_or(0, |t| t.0));
                     self.record(70, &[&request.0.to_be_bytes(), &node.0.to_be_bytes(), &wait]);
                 }
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -190,6 +190,8 @@
     Drip(Vec<u8>, usize, Duration),
     /// Writes this and ends the connection.
     Cut(Vec<u8>),
+    /// The same, and from then on connections come up late.
+    CutAndHold,
     /// Writes this and nothing more, until the other side ends the connection.
     Stall(Vec<u8>),
 }
@@ -203,6 +205,9 @@
     pub probes: AtomicUsize,
     pub opened: AtomicUsize,
     pub closed: AtomicUsize,
+    /// While set no connection is greeted: dials come up late. How many have waited for that.
+    pub holds: AtomicBool,
+    pub held: AtomicUsize,
 }
 
 impl Seen {
@@ -227,6 +232,12 @@
         if stream.read_exact(&mut head).is_ok() {
             let mut rest = vec![0; u32::from_be_bytes(head) as usize - 4];
             stream.read_exact(&mut rest).unwrap();
+            if shared.holds.load(Ordering::SeqCst) {
+                shared.held.fetch_add(1, Ordering::SeqCst);
+                while shared.holds.load(Ordering::SeqCst) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+            }
             let _ = stream.write_all(&[message(b'R', &[0; 4]), ready()].concat());
             while let Some((b'Q', body)) = read_message(&mut stream) {
                 let query = String::from_utf8(body).unwrap().trim_end_matches('\0').to_owned();
@@ -260,6 +271,10 @@
                         let _ = stream.write_all(&bytes);
                         break;
                     }
+                    Does::CutAndHold => {
+                        shared.holds.store(true, Ordering::SeqCst);
+                        break;
+                    }
                     Does::Stall(bytes) => {
                         let _ = stream.write_all(&bytes);
                         let _ = stream.read(&mut [0]);
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -550,7 +550,10 @@
         let member = *member;
         let ask = match job {
             Job::Probe => None,
-            Job::Run { payload, .. } => {
+            Job::Run { payload, permit, .. } => {
+                if !permit.take(self.now) {
+                    return Err(format!("gateway {n} submits what may not begin"));
+                }
                 let ask = u64::from_be_bytes(payload.bytes[..8].try_into().map_err(|_| "no ask")?);
                 *slot = Some(ask);
                 Some(ask)
--- a/crates/net/src/servers.rs
+++ b/crates/net/src/servers.rs
@@ -171,7 +171,7 @@
         let held = lock(&self.held).take();
         let stream = match held.filter(|s| quiet(s)) {
             Some(stream) => Ok(stream),
-            None => self.open(),
+            None => self.open(job),
         };
         // An answer that breaks off cuts its client off only once the core has been told why.
         let way = RefCell::new(None);
@@ -190,13 +190,18 @@
         let _ = self.events.send(Event::Ended { conn: self.conn, reply, reusable });
     }
 
-    /// Connects and greets, within the one time limit for both.
-    fn open(&self) -> Result<Arc<Kept>, Outcome> {
+    /// Connects and greets, within the one time limit for both, and for no longer than the job is waited for.
+    fn open(&self, job: &Job) -> Result<Arc<Kept>, Outcome> {
         let failed = |_: io::Error| Outcome::ConnectFailed;
         let address = self.address.ok_or(Outcome::ConnectFailed)?;
-        let began = self.clock.now();
         let place = self.places.member().ok_or(Outcome::ConnectFailed)?;
-        let stream = TcpStream::connect_timeout(&address, self.connect_timeout).map_err(failed)?;
+        let began = self.clock.now();
+        let most = match job {
+            Job::Run { until, .. } => Duration::from_micros((*until - began).0.max(1_000).unsigned_abs()),
+            Job::Probe => self.connect_timeout,
+        };
+        let most = most.min(self.connect_timeout);
+        let stream = TcpStream::connect_timeout(&address, most).map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
         let stream = Arc::new(Kept(stream, place));
         {
@@ -207,7 +212,7 @@
             line.stream = Some(Arc::clone(&stream));
         }
         let spent = Duration::from_micros((self.clock.now() - began).0.unsigned_abs());
-        let left = self.connect_timeout.saturating_sub(spent).max(Duration::from_millis(1));
+        let left = most.saturating_sub(spent).max(Duration::from_millis(1));
         stream.set_read_timeout(Some(left)).map_err(failed)?;
         self.protocol.open(&stream)?;
         stream.set_read_timeout(None).map_err(failed)?;
@@ -216,13 +221,13 @@
 
     #[allow(clippy::cast_possible_truncation)]
     fn carry(&self, stream: &TcpStream, job: &Job, begin: Begin) -> (Reply, bool) {
+        let now = self.clock.now();
         let left = match job {
-            Job::Run { until, .. } => (*until - self.clock.now()).0 / 1000,
+            // The dial may have outlived the request, its member's time or the window for its repeat.
+            Job::Run { permit, .. } if !permit.take(now) => return (Reply::bare(Outcome::Moot), true),
+            Job::Run { until, .. } => (*until - now).0 / 1000,
             Job::Probe => self.connect_timeout.as_millis() as i64,
         };
-        if left < 0 {
-            return (Reply::bare(Outcome::ConnectFailed), false);
-        }
         let bytes = self.protocol.request(job, left.max(1));
         // A break before the last byte is written means that nothing ran; after it, that it may have.
         if (&mut &*stream).write_all(&bytes).is_err() {
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -414,12 +414,10 @@
         for id in self.nodes.iter().filter_map(over).collect::<Vec<_>>() {
             let Some(node) = self.nodes.get_mut(&id) else { continue };
             node.reach.shut(Shut::Silent, self.now);
-            for (request, attempt) in node.out.keys().filter(|_| self.cfg.limits.cancel) {
-                let Some(open) = self.open.get(request) else { continue };
-                if self.cfg.classes[open.class.0].effect != Effect::Unsafe {
-                    actions.push(Action::Cancel { request: *request, attempt: *attempt });
-                }
-            }
+            let harms = |o: &Open| self.cfg.classes[o.class.0].effect == Effect::Unsafe;
+            let off = |id: &RequestId| self.cfg.limits.cancel && self.open.get(id).is_some_and(|o| !harms(o));
+            let out = node.out.keys().copied().filter(|(id, _)| off(id));
+            actions.extend(out.map(|(request, attempt)| Action::Cancel { request, attempt }));
             self.lose_primary(id);
         }
     }
@@ -472,8 +470,7 @@
         if group.primary == Some(id) {
             group.believe(None, Known::Not, self.now);
             let (ask_at, began) = (self.now + Span(SEARCH_PAUSE.0 / 4), self.now);
-            let tried = BTreeSet::from([id]);
-            let gap = SEARCH_PAUSE;
+            let (tried, gap) = (BTreeSet::from([id]), SEARCH_PAUSE);
             group.search = Some(Search { leader: None, tried, pause_until: None, ask_at, gap, began });
         } else if let Some(search) = &mut group.search {
             search.tried.insert(id);
@@ -530,7 +527,6 @@
         let stretch = request.work.map_or(Span(0), |w| w.times(class.aim_stretch));
         let deadline = self.now + request.time_left;
         let late_counts = class.need == Need::Write && class.late_worth > 0.0;
-        let aim = self.now + class.aim + stretch;
         let kept = request.session.and_then(|key| self.sessions.get(&key).copied());
         let floor = match (class.need, self.cfg.sessions) {
             (Need::Session, Sessions::Brought) => request.wrote_ago.map(|ago| self.now - ago),
@@ -543,7 +539,7 @@
             session: request.session,
             arrived: self.now,
             deadline,
-            useful_until: if late_counts { deadline } else { aim.min(deadline) },
+            useful_until: if late_counts { deadline } else { deadline.min(self.now + class.aim + stretch) },
             floor,
             not_before: self.now,
             ..Open::default()
@@ -610,16 +606,12 @@
         }
         let class = &self.cfg.classes[open.class.0];
         let expected = Span(1).times(self.class_latency[open.class.0]);
-        let window_over = open.ran_from.is_some_and(|from| match class.effect {
-            Effect::Keyed(_, window) => self.now + self.cfg.tick >= from + window,
-            effect => effect == Effect::Unsafe,
-        });
+        let window_over = self.repeats_until(open).is_some_and(|at| self.now >= at);
         // Never sent by half its time: its client is told while it can come back.
         let half = Span((open.deadline - open.arrived).0 / 2 - self.cfg.tick.0 * 4);
         let held = open.attempts == 0 && self.now - open.arrived > half;
         let useless = held || self.now + expected > open.useful_until && self.now > open.arrived;
-        let spent = open.attempts >= self.cfg.limits.max_attempts;
-        let over = self.now >= open.deadline;
+        let (spent, over) = (open.attempts >= self.cfg.limits.max_attempts, self.now >= open.deadline);
         let why = [(over, Why::Deadline), (shed, Why::Strain), (held, Why::Unsent), (useless, Why::Late)];
         let why = why.into_iter().chain([(spent, Why::Attempts), (window_over, Why::Window)]);
         if let Some((_, why)) = why.into_iter().find(|(holds, _)| *holds) {
@@ -670,8 +662,10 @@
 
     fn send(&mut self, id: RequestId, to: NodeId, actions: &mut Vec<Action>) -> bool {
         let now = self.now;
-        let Some(open) = self.open.get_mut(&id) else { return false };
-        let Some(node) = self.nodes.get_mut(&to) else { return false };
+        let begin_by = self.open.get(&id).and_then(|open| self.begin_by(open, to));
+        let (Some(open), Some(node)) = (self.open.get_mut(&id), self.nodes.get_mut(&to)) else {
+            return false;
+        };
         open.out.insert(open.attempts, to);
         node.out.insert((id, open.attempts), (now, open.class, open.session));
         open.attempts += 1;
@@ -680,10 +674,28 @@
         // Where nothing can be called off, a safe read's time-out leaves room for a second try.
         let bare = self.cfg.classes[open.class.0].effect == Effect::Safe && !self.cfg.limits.cancel;
         let timeout = bare.then_some(Span((open.deadline - now).0 / 2));
-        actions.push(Action::Send { request: id, node: to, timeout });
+        actions.push(Action::Send { request: id, node: to, timeout, begin_by });
         true
     }
 
+    /// Until when a repeat is sure to be dropped where an earlier attempt may have run.
+    fn repeats_until(&self, open: &Open) -> Option<Time> {
+        match self.cfg.classes[open.class.0].effect {
+            Effect::Keyed(_, window) => Some(open.ran_from? + window - Span(self.cfg.tick.0 * 2)),
+            Effect::Unsafe => open.ran_from,
+            Effect::Safe => None,
+        }
+    }
+
+    /// Until when what is decided now holds: connections may come up late, and knowledge ages meanwhile.
+    fn begin_by(&self, open: &Open, to: NodeId) -> Option<Time> {
+        let repeat = self.repeats_until(open);
+        let Need::Bounded(bound) = self.cfg.classes[open.class.0].need else { return repeat };
+        let primary = self.groups.get(&open.group).is_some_and(|g| g.known && g.primary == Some(to));
+        let known = self.nodes.get(&to)?.position.filter(|_| self.cfg.checks == Checks::Off && !primary);
+        known.map(|at| at + bound).into_iter().chain(repeat).min()
+    }
+
     /// An answer has begun: its node has done the work, is not silent, and is not filled by what is sent on.
     fn on_streaming(&mut self, id: RequestId) {
         let now = self.now;
@@ -705,9 +717,7 @@
             node.map_or((None, None), |n| (n.out.remove(&attempt), n.streams.remove(&attempt)));
         let (gone, begun) = (out.or(stream.map(|(_, sent)| sent)), stream.map(|(at, _)| at));
         let sent = gone.map(|(at, ..)| at);
-        if let Some((_, class, key)) = gone {
-            self.measure(end, class, key);
-        }
+        gone.into_iter().for_each(|(_, class, key)| self.measure(end, class, key));
         if let Some(node) = self.nodes.get_mut(&end.node) {
             if end.outcome.from_node() {
                 node.reach.open(now);
@@ -721,11 +731,9 @@
             let stamped = end.position.map(|p| p - Span::from_millis(1));
             node.position = node.position.max(told).max(stamped);
         }
-        if let Some(role) = end.role {
-            // A primary may have been one only as its answer began.
-            let at = begun.filter(|_| role == Role::Primary).unwrap_or(now);
-            self.on_role(end.node, role, at, true);
-        }
+        // A primary may have been one only as its answer began.
+        let at = begun.filter(|_| end.role == Some(Role::Primary)).unwrap_or(now);
+        end.role.into_iter().for_each(|role| self.on_role(end.node, role, at, true));
         end.report.iter().for_each(|r| self.on_report(end.node, r));
         self.forget(end.node);
         if end.outcome == Outcome::ConnectFailed {
@@ -743,9 +751,7 @@
             return self.finish(end.request, actions);
         }
         let Some(open) = self.open.get_mut(&end.request) else { return };
-        if !end.outcome.never_ran() {
-            open.ran_from = open.ran_from.or(sent);
-        }
+        open.ran_from = open.ran_from.or(sent.filter(|_| !end.outcome.never_ran()));
         let class = &self.cfg.classes[open.class.0];
         if class.need != Need::Write {
             open.avoid.insert(end.node);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -547,6 +547,9 @@
         node: NodeId,
         /// Its time-out; `None`: until the client gives up.
         timeout: Option<Span>,
+        /// Nothing of it may be written later than this, however long a connection takes to come up; `None`: while its
+        /// time-out lasts.
+        begin_by: Option<Time>,
     },
     /// Call an attempt off.
     Cancel {
--- a/crates/policy/tests/script/mod.rs
+++ b/crates/policy/tests/script/mod.rs
@@ -290,7 +290,7 @@
 
     fn check(&mut self, action: &Action) {
         match action {
-            Action::Send { request, node, .. } => {
+            Action::Send { request, node, begin_by, .. } => {
                 let h = self.held.get_mut(request).expect("a request of ours");
                 let class = &self.cfg.classes[h.class];
                 assert!(!h.done, "rule 1: {request:?} sent after its end");
@@ -300,6 +300,8 @@
                     (Effect::Unsafe, Some(_)) => panic!("rule 2: {request:?} may have run and was resent"),
                     (Effect::Keyed(_, window), Some(from)) => {
                         assert!(self.now.0 < from + window.0, "rule 2: {request:?} resent after its window");
+                        let ends = begin_by.is_some_and(|at| at.0 < from + window.0);
+                        assert!(ends, "rule 2: {request:?} may begin behind its window if its dial is late");
                     }
                     _ => {}
                 }
@@ -310,7 +312,12 @@
                     _ => None,
                 };
                 if self.cfg.checks == Checks::Off && need.is_some() && !self.primaries.contains(node) {
-                    assert!(self.told.get(node).copied() >= need, "rule 5: {request:?} to {node:?} is stale");
+                    let told = self.told.get(node).copied();
+                    assert!(told >= need, "rule 5: {request:?} to {node:?} is stale");
+                    if let (Need::Bounded(bound), Some(told)) = (class.need, told) {
+                        let ends = begin_by.is_some_and(|at| at <= told + bound);
+                        assert!(ends, "rule 5: {request:?} to {node:?} may be stale if its dial is late");
+                    }
                 }
                 assert!(h.attempts < self.cfg.limits.max_attempts, "more attempts than allowed");
                 h.out.insert(h.attempts, *node);
