Give up a database that says notices or parameters without an end

Seen by reading: Databases::read and open in crates/pg/src/servers.rs took notices and parameters for as long as they came; an answer beside which they never end held its thread and the processor until the request's deadline, and a greeting until the dial's time. 64 KiB of them are borne now.

--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -192,6 +192,8 @@
     Cut(Vec<u8>),
     /// The same, and from then on connections come up late.
     CutAndHold,
+    /// Writes this over and over, until the other side ends the connection.
+    Endless(Vec<u8>),
     /// Writes this and nothing more, until the other side ends the connection.
     Stall(Vec<u8>),
 }
@@ -271,6 +273,10 @@
                         let _ = stream.write_all(&bytes);
                         break;
                     }
+                    Does::Endless(bytes) => {
+                        while stream.write_all(&bytes).is_ok() {}
+                        break;
+                    }
                     Does::CutAndHold => {
                         shared.holds.store(true, Ordering::SeqCst);
                         break;
--- a/crates/pg/src/servers.rs
+++ b/crates/pg/src/servers.rs
@@ -17,6 +17,8 @@
 const STALL: Duration = Duration::from_millis(400);
 /// The same for one that is passed on, which nothing can take the place of: some databases take seconds for a piece.
 const SLOW: Duration = Duration::from_secs(30);
+/// What a database may say beside one answer, or as it greets, in notices and parameters: it may go on with them for ever.
+const ASIDE: usize = 64 * 1024;
 /// How far positions may lie ahead of this machine's clock, and how far back.
 const AHEAD: Span = Span::from_millis(1_000);
 const DAY: Span = Span::from_millis(86_400_000);
@@ -61,6 +63,7 @@
         };
         let mut reply = Reply::bare(Outcome::Reset);
         let (mut body, mut described, mut row, mut whole, mut way) = (vec![], false, None, false, None);
+        let mut aside = 0;
         loop {
             let failed = reply.outcome != Outcome::Reset;
             let long = |kind, length| kind == b'D' && length > pg::LONG + pg::value_head(0).len();
@@ -89,6 +92,12 @@
                 }
                 Err(e) => return spoilt(&e.to_string()),
             };
+            if matches!(kind, b'N' | b'S') {
+                aside += bytes.len() + 5;
+                if aside > ASIDE {
+                    return spoilt("notices and parameters without an end");
+                }
+            }
             match kind {
                 b'T' if !described && !failed && pg::one_column(&bytes) => described = true,
                 b'D' if described && row.is_none() && !failed => match pg::column(&bytes) {
@@ -223,7 +232,8 @@
 impl Speaks for Databases {
     fn open(&self, stream: &TcpStream) -> Result<(), Outcome> {
         pg::write_startup(&mut &*stream).map_err(|_| Outcome::ConnectFailed)?;
-        loop {
+        let mut aside = 0;
+        while aside <= ASIDE {
             // Unbuffered: what comes behind the greeting belongs to the first answer.
             match pg::read_message(&mut &*stream, pg::FROM_SERVER) {
                 Ok((b'Z', _)) => return Ok(()),
@@ -233,9 +243,11 @@
                     return Err(Outcome::Full);
                 }
                 Ok((b'E', _)) | Err(_) => return Err(Outcome::ConnectFailed),
-                Ok(_) => {}
+                // Each is of five bytes at the least.
+                Ok((_, bytes)) => aside += bytes.len() + 5,
             }
         }
+        Err(Outcome::ConnectFailed)
     }
 
     fn request(&self, job: &Job, left_ms: i64) -> Vec<u8> {
