--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -66,45 +66,142 @@
     NodeId(digits.and_then(|h| u32::from_str_radix(h, 16).ok()).unwrap_or_else(hashed))
 }
 
-fn names(flat: &str, list: &str, name: &str) -> Vec<String> {
-    let find =
-        |key: String| flat.lines().find_map(|l| l.strip_prefix(&key)?.strip_prefix('=').map(str::to_owned));
-    if name.is_empty() {
-        return find(list.into()).map_or(vec![], |v| v.split(',').map(str::to_owned).collect());
+/// The names that clients and discovery use, as they use them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    /// Classes, in the settings' order.
+    pub classes: Vec<String>,
+    /// Tenants, in the settings' order.
+    pub tenants: Vec<String>,
+    /// Zones, in the settings' order.
+    pub zones: Vec<String>,
+    /// Kinds of machine, in the settings' order.
+    pub kinds: Vec<String>,
+}
+
+/// Whether a request's comment can hold a name: it ends one at a comma and itself at `*/`, and what stands around a
+/// name is passed over.
+///
+/// # Errors
+/// What is wrong with the name.
+pub fn sayable(name: &str) -> Result<(), String> {
+    let whole = !name.is_empty() && name.trim() == name && !name.contains(',') && !name.contains("*/");
+    let whole = whole && !name.contains(char::is_control);
+    let wrong =
+        "which no request can say: empty, with a space around it, or with ',', '*/' or a control character";
+    whole.then_some(()).ok_or_else(|| format!("is {name:?}, {wrong}"))
+}
+
+impl Names {
+    /// From the settings as JSON: their flat form does not keep names as they are.
+    ///
+    /// # Errors
+    /// The key of a name that is missing, no text, there twice, or not to be said.
+    fn read(settings: &Value) -> Result<Self, String> {
+        let (classes, tenants) = (Self::of_items(settings, "classes")?, Self::of_items(settings, "tenants")?);
+        let (zones, kinds) = (Self::listed(settings, "areas")?, Self::listed(settings, "skus")?);
+        Ok(Self { classes, tenants, zones, kinds })
+    }
+
+    /// The names of a list of objects, none of which may be without: what comes after it would be taken for another.
+    fn of_items(settings: &Value, list: &str) -> Result<Vec<String>, String> {
+        let items = settings.get(list).and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let mut names: Vec<String> = vec![];
+        for (n, item) in items.iter().enumerate() {
+            let at = |what: &str| format!("settings: {list}.{n}.name {what}");
+            let name = match item.get("name") {
+                None | Some(Value::Null) => return Err(at("is missing")),
+                Some(Value::String(name)) => name,
+                Some(other) => return Err(at(&format!("is {other}, not a text"))),
+            };
+            sayable(name).map_err(|what| at(&what))?;
+            if let Some(other) = names.iter().position(|known| known == name) {
+                return Err(at(&format!("is {name:?}, as {list}.{other}.name")));
+            }
+            names.push(name.clone());
+        }
+        Ok(names)
+    }
+
+    /// A list of names that only discovery uses; it may be missing. The last of 256 places stands for those not listed.
+    fn listed(settings: &Value, list: &str) -> Result<Vec<String>, String> {
+        let value = settings.get(list).unwrap_or(&Value::Null);
+        if value.is_null() {
+            return Ok(vec![]);
+        }
+        let items: Option<Vec<&str>> =
+            value.as_array().and_then(|items| items.iter().map(Value::as_str).collect());
+        let items = items.ok_or_else(|| format!("settings: {list} is {value}, not a list of names"))?;
+        if items.len() >= usize::from(u8::MAX) {
+            return Err(format!("settings: {list} holds {} names, more than 254", items.len()));
+        }
+        let again = items.iter().enumerate().find(|(n, name)| items[..*n].contains(name));
+        again.map_or(Ok(()), |(_, name)| Err(format!("settings: {list} holds {name:?} twice")))?;
+        Ok(items.into_iter().map(str::to_owned).collect())
     }
-    (0..).map_while(|n| find(format!("{list}.{n}.{name}"))).collect()
 }
 
 impl Site {
-    /// From the settings as `path=value` lines.
+    /// From the settings as `path=value` lines, and the names that go with them.
     ///
     /// # Errors
     /// The key at fault.
-    pub fn new(flat: &str) -> Result<Self, String> {
+    pub fn new(flat: &str, names: Names) -> Result<Self, String> {
         let (settings, wire) = settings::parse(flat)?;
-        let connect = flat.lines().find_map(|l| l.strip_prefix("limits.connect-timeout-ms="));
-        let connect_timeout_ms = match connect {
-            None => 250,
-            Some(text) => match text.parse::<f64>() {
-                #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-                Ok(ms) if (1.0..=60_000.0).contains(&ms) => ms as u64,
-                _ => return Err(format!("settings: limits.connect-timeout-ms is {text:?}")),
-            },
-        };
-        Ok(Self {
-            settings,
-            wire,
-            classes: names(flat, "classes", "name"),
-            tenants: names(flat, "tenants", "name"),
-            zones: names(flat, "areas", ""),
-            kinds: names(flat, "skus", ""),
-            connect_timeout_ms,
-        })
+        let Names { classes, tenants, zones, kinds } = names;
+        // Keys that the settings' JSON writes flat bring no names.
+        for (list, names, count) in [("classes", &classes, wire.classes), ("tenants", &tenants, wire.tenants)]
+        {
+            if names.len() != count {
+                return Err(format!("settings: {list} has {} names for {count} items", names.len()));
+            }
+        }
+        let zone = usize::from(settings.zone.0);
+        if !zones.is_empty() && zone >= zones.len() {
+            return Err(format!("settings: zone is {zone}, and areas has {} names, from 0 on", zones.len()));
+        }
+        let connect_timeout_ms = settings::connect_timeout_ms(flat)?;
+        Ok(Self { settings, wire, classes, tenants, zones, kinds, connect_timeout_ms })
+    }
+
+    /// Whether figures can tell its classes apart: they end a class's name at `:`, and a value at `|`.
+    ///
+    /// # Errors
+    /// The key of the name that cannot be told.
+    pub fn tellable(&self) -> Result<(), String> {
+        let wrong = self.classes.iter().enumerate().find(|(_, name)| name.contains([':', '|']));
+        let what = "with figures for operators it must hold neither ':' nor '|'";
+        wrong.map_or(Ok(()), |(n, name)| Err(format!("settings: classes.{n}.name is {name:?}: {what}")))
+    }
+
+    /// From the settings as the platform's JSON has them.
+    ///
+    /// # Errors
+    /// The key at fault.
+    pub fn from_json(settings: &Value) -> Result<Self, String> {
+        if !settings.is_object() {
+            return Err(format!("config: settings is {settings}, not an object"));
+        }
+        let flat = flatten(settings);
+        // What is wrong with a list is better told than what is wrong with its names.
+        settings::parse(&flat)?;
+        Self::new(&flat, Names::read(settings)?)
     }
 }
 
+/// Paths that hold lists of plain values.
+const LISTS: [&str; 6] = [
+    "areas",
+    "skus",
+    "tiers",
+    "telemetry.fields",
+    "family-info.needs-by-class",
+    "family-info.staleness-bound-ms",
+];
+
 /// Nested JSON to the `path=value` lines of the simulator's first message: a list of plain values is joined
-/// with commas, a list of objects gets its length under `.count`, spaces and commas in values become `_`.
+/// with commas, a list of objects gets its length under `.count`, spaces and commas in values become `_`. A list of one
+/// where no list belongs keeps its brackets, so that it is not taken for what it holds.
 #[must_use]
 pub fn flatten(value: &Value) -> String {
     fn plain(value: &Value) -> Option<String> {
@@ -117,7 +214,9 @@
         }
     }
     fn walk(path: &str, value: &Value, out: &mut String) {
-        let under = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+        // No key may begin a line, or end itself.
+        let key = |key: &str| key.replace(['=', '\n', '\r'], "_");
+        let under = |name: &str| if path.is_empty() { key(name) } else { format!("{path}.{}", key(name)) };
         match value {
             Value::Object(map) => map.iter().for_each(|(key, v)| walk(&under(key), v, out)),
             Value::Array(items) => {
@@ -126,7 +225,13 @@
                     if values.is_empty() {
                         out.push_str(&format!("{}=0\n", under("count")));
                     }
-                    out.push_str(&format!("{path}={}\n", values.join(",")));
+                    let values = values.join(",");
+                    let alone = items.len() == 1 && !LISTS.contains(&path);
+                    out.push_str(&if alone {
+                        format!("{path}=[{values}]\n")
+                    } else {
+                        format!("{path}={values}\n")
+                    });
                 } else {
                     out.push_str(&format!("{}={}\n", under("count"), items.len()));
                     items.iter().enumerate().for_each(|(n, v)| walk(&under(&n.to_string()), v, out));
@@ -140,6 +245,9 @@
     out
 }
 
+/// Descriptors, and megabytes, at the most.
+const MOST: f64 = 1_048_576.0;
+
 fn text<'a>(config: &'a Value, key: &str) -> Result<&'a str, String> {
     let value = config.get(key).ok_or_else(|| format!("config: {key} is missing"))?;
     value.as_str().ok_or_else(|| format!("config: {key} is {value}, not a text"))
@@ -159,15 +267,17 @@
         let config: Value = serde_json::from_str(source).map_err(|e| format!("config: no JSON: {e}"))?;
         let seed = text(&config, "seed")?;
         let settings = config.get("settings").ok_or("config: settings is missing")?;
-        let limit = |key: &str, usual: usize, least: u64| match config.pointer(&format!("/limits/{key}")) {
-            None => Ok(usual),
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let limit = |key: &str, usual: usize, least: f64| match config.pointer(&format!("/limits/{key}")) {
+            None | Some(Value::Null) => Ok(usual),
             Some(v) => {
-                let number = v.as_u64().filter(|n| *n >= least).and_then(|n| usize::try_from(n).ok());
-                number
-                    .ok_or_else(|| format!("config: limits.{key} is {v}, not a whole number from {least} on"))
+                let number = v.as_f64().filter(|n| (least..=MOST).contains(n) && n.fract() == 0.0);
+                number.map(|n| n as usize).ok_or_else(|| {
+                    format!("config: limits.{key} is {v}, not a whole number from {least} to {MOST}")
+                })
             }
         };
-        let (sockets, memory_mb) = (limit("sockets", 1024, 64)?, limit("memory_mb", 192, 16)?);
+        let (sockets, memory_mb) = (limit("sockets", 1024, 64.0)?, limit("memory_mb", 192, 16.0)?);
         Ok(Self {
             name: text(&config, "name")?.to_owned(),
             listen: parsed(&config, "listen", "an address with a port")?,
@@ -181,7 +291,7 @@
             sockets,
             memory_mb,
             known: config.get("known").cloned().unwrap_or(Value::Null),
-            site: Site::new(&flatten(settings))?,
+            site: Site::from_json(settings)?,
         })
     }
 }
--- a/crates/config/src/operators.rs
+++ b/crates/config/src/operators.rs
@@ -12,8 +12,9 @@
 
 use super::peers::Peers;
 use super::reader::{Fault, Section, Source};
+use super::settings::SHORTEST_DEADLINE_MS;
 use super::snmp::Snmp;
-use super::{Site, number};
+use super::{Names, Site, number, sayable};
 
 /// What a front speaks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -449,7 +450,7 @@
         effect,
         window_ms: if keyed { section.above_zero("window-ms", None, DAY_MS) } else { 0.0 },
         aim_ms: section.above_zero("aim-ms", None, DAY_MS),
-        deadline_ms: section.above_zero("deadline-ms", None, DAY_MS),
+        deadline_ms: section.number("deadline-ms", None, SHORTEST_DEADLINE_MS..=DAY_MS),
         worth: section.above_zero("worth", Some(1.0), 1e9),
         late_worth: section.number("late-worth", Some(0.0), 0.0..=1.0),
     };
@@ -534,6 +535,12 @@
     if sections.is_empty() && protocol == Protocol::Postgresql {
         section.fault("contract", "is missing: requests name their contract");
     }
+    if let (Protocol::Postgresql, Some(what)) =
+        (protocol, budgets.iter().find_map(|b| sayable(&b.name).err()))
+    {
+        section
+            .fault("protocol", format!("is postgresql, where requests say a budget's name, and one {what}"));
+    }
     let mut lines: Vec<Line> = vec![];
     let mut shown = vec![];
     for contract in sections {
@@ -545,6 +552,9 @@
             let what = format!("is {:?}: with [mgmt] it must hold neither ':' nor '|'", read.name);
             contract.fault("name", what);
         }
+        if protocol == Protocol::Postgresql {
+            sayable(&read.name).unwrap_or_else(|what| contract.fault("name", what));
+        }
         lines.push(read);
         shown.push(contract.done());
     }
@@ -565,7 +575,7 @@
         .into_iter()
         .enumerate()
         {
-            let deadline_ms = section.above_zero(key, Some(5000.0), DAY_MS);
+            let deadline_ms = section.number(key, Some(5000.0), SHORTEST_DEADLINE_MS..=DAY_MS);
             contracts.push(Contract { class: own + n, tenant: None, group, starts: vec![] });
             let name = name.to_owned();
             let (budget, statements, aim_ms) = (None, vec![], deadline_ms / 4.0);
@@ -587,7 +597,14 @@
         }
     }
     let text = settings(section, protocol, routers, budgets, &lines);
-    let site = Site::new(&text).map_err(|what| section.fault("contract", format!("cannot be used: {what}")));
+    let names = Names {
+        classes: lines.iter().map(|l| l.name.clone()).collect(),
+        tenants: budgets.iter().map(|b| b.name.clone()).collect(),
+        zones: vec!["site".into()],
+        kinds: vec!["member".into()],
+    };
+    let site =
+        Site::new(&text, names).map_err(|what| section.fault("contract", format!("cannot be used: {what}")));
     Some(Front {
         name: name.into(),
         protocol,
@@ -614,7 +631,6 @@
         let _ = writeln!(out, "{key}={value}");
     };
     for (n, line) in lines.iter().enumerate() {
-        put(format!("classes.{n}.name"), line.name.clone());
         put(format!("classes.{n}.effect"), line.effect.into());
         put(format!("classes.{n}.group"), "cell".into());
         for (key, value) in [
@@ -633,7 +649,6 @@
     put("family-info.staleness-bound-ms".into(), joined(&|l| l.bound_ms.to_string()));
     put("tenants.count".into(), budgets.len().to_string());
     for (n, b) in budgets.iter().enumerate() {
-        put(format!("tenants.{n}.name"), b.name.clone());
         put(format!("tenants.{n}.share"), b.share.to_string());
         put(format!("tenants.{n}.allowance-per-s"), b.allowance.to_string());
     }
@@ -694,7 +709,7 @@
             &[("trailing", "trailing"), ("static", "static"), ("off", "off")],
         );
         sessions = database.choice("sessions", Some("kept"), &[("kept", "kept"), ("brought", "brought")]);
-        reports = if database.flag("reports", true) { "probe" } else { "off" };
+        reports = if database.flag("reports", true) { "on_probe" } else { "off" };
         section.put("database", database.done());
     }
     for (key, value) in [
@@ -708,8 +723,6 @@
         ("membership-mode", "push"),
         ("telemetry.source", reports),
         ("telemetry.fields", "x0,x1,util,inflight"),
-        ("areas", "site"),
-        ("skus", "member"),
     ] {
         put(key.into(), value.into());
     }
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -1,7 +1,8 @@
-//! The settings text of the wire, to the module's settings. No defaults: what is missing is an error.
+//! The settings text of the wire, to the module's settings. What is missing is an error, but for the few keys that
+//! `docs/operators/settings.md` gives a default; what no operator can mean is one too, and is named by its key.
 
 use std::collections::BTreeMap;
-use std::str::FromStr;
+use std::ops::{Bound, RangeInclusive};
 
 use valehatch_policy::{
     Checks, Class, DedupScope, Effect, Limits, ListMode, ListedRole, Need, Report, Rules, Sessions, Settings,
@@ -59,29 +60,66 @@
     }
 }
 
+/// The longest length of time that a key may hold, in milliseconds: thirty days.
+pub const LONGEST_MS: f64 = 2_592_000_000.0;
+/// The shortest that counts as one, in milliseconds: the module counts microseconds.
+const SHORTEST_MS: f64 = 0.001;
+/// The shortest deadline, in milliseconds: a final answer leaves some before the client stops waiting, and something must
+/// be left of its time.
+pub const SHORTEST_DEADLINE_MS: f64 = 10.0;
+/// Attempts for one request, whatever the settings allow: more only add to the load that made the first ones fail.
+pub const MOST_ATTEMPTS: u32 = 6;
+/// How long a connection may take to come up, in milliseconds, where nothing says so.
+const CONNECT_TIMEOUT_MS: f64 = 250.0;
+/// How often the list is asked for where nothing says so and it comes unasked, in milliseconds.
+const ASK_WITHIN_MS: f64 = 10_000.0;
+/// Classes, and tenants, at the most.
+const MOST_ITEMS: f64 = 65_536.0;
+
 struct Text<'a>(BTreeMap<&'a str, &'a str>);
 
 impl<'a> Text<'a> {
+    fn read(source: &'a str) -> Result<Self, String> {
+        let mut text = Self(BTreeMap::new());
+        for line in source.lines().filter(|l| !l.trim().is_empty()) {
+            let (key, value) =
+                line.split_once('=').ok_or_else(|| format!("settings: no '=' in line {line:?}"))?;
+            text.0.insert(key.trim(), value.trim());
+        }
+        Ok(text)
+    }
+    /// What a key holds; one that holds nothing, as JSON's null does, is missing, and one that others begin with is none.
+    fn find(&self, key: &str) -> Option<&'a str> {
+        let below = format!("{key}.");
+        match self.0.get(key) {
+            Some(text) => Some(*text).filter(|text| !text.is_empty()),
+            None => {
+                let next = self.0.range::<str, _>((Bound::Included(below.as_str()), Bound::Unbounded)).next();
+                next.filter(|(name, _)| name.starts_with(&below)).map(|_| "an object")
+            }
+        }
+    }
     fn get(&self, key: &str) -> Result<&'a str, String> {
-        self.0.get(key).copied().ok_or_else(|| format!("settings: {key} is missing"))
+        self.find(key).ok_or_else(|| format!("settings: {key} is missing"))
+    }
+    fn number(&self, key: &str, bounds: RangeInclusive<f64>) -> Result<f64, String> {
+        within(key, self.get(key)?, bounds)
     }
-    fn number<T: FromStr>(&self, key: &str) -> Result<T, String> {
-        let text = self.get(key)?;
-        text.parse().map_err(|_| format!("settings: {key} is {text:?}, not a number"))
+    fn number_or(&self, key: &str, usual: f64, bounds: RangeInclusive<f64>) -> Result<f64, String> {
+        self.find(key).map_or(Ok(usual), |text| within(key, text, bounds))
     }
-    fn float(&self, key: &str) -> Result<f64, String> {
-        let value: f64 = self.number(key)?;
-        if value.is_finite() { Ok(value) } else { Err(format!("settings: {key} is {value}")) }
+    /// A whole number; JSON may write it with a point and a nought.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn whole(&self, key: &str, bounds: RangeInclusive<f64>) -> Result<u32, String> {
+        let value = self.number(key, bounds)?;
+        let whole = (value.fract() == 0.0).then_some(value as u32);
+        whole.ok_or_else(|| format!("settings: {key} is {value}, not a whole number"))
     }
-    fn span(&self, key: &str) -> Result<Span, String> {
-        self.float(key).map(|ms| Span(micros(ms)))
+    fn span(&self, key: &str, least_ms: f64) -> Result<Span, String> {
+        self.number(key, least_ms..=LONGEST_MS).map(|ms| Span(micros(ms)))
     }
     fn choice<T: Copy>(&self, key: &str, choices: &[(&str, T)]) -> Result<T, String> {
-        let text = self.get(key)?;
-        choices.iter().find(|(name, _)| *name == text).map(|(_, value)| *value).ok_or_else(|| {
-            let names: Vec<_> = choices.iter().map(|(name, _)| *name).collect();
-            format!("settings: {key} is {text:?}, not one of {}", names.join(", "))
-        })
+        choice(key, self.get(key)?, choices)
     }
     fn flag(&self, key: &str) -> Result<bool, String> {
         self.choice(key, &[("true", true), ("false", false)])
@@ -91,104 +129,140 @@
     }
 }
 
+/// A number within bounds, which neither NaN nor an infinity is.
+fn within(key: &str, text: &str, bounds: RangeInclusive<f64>) -> Result<f64, String> {
+    let value = text.parse().ok().filter(|v| bounds.contains(v));
+    value.ok_or_else(|| {
+        format!("settings: {key} is {text:?}, not a number from {} to {}", bounds.start(), bounds.end())
+    })
+}
+
+fn choice<T: Copy>(key: &str, text: &str, choices: &[(&str, T)]) -> Result<T, String> {
+    choices.iter().find(|(name, _)| *name == text).map(|(_, value)| *value).ok_or_else(|| {
+        let names: Vec<_> = choices.iter().map(|(name, _)| *name).collect();
+        format!("settings: {key} is {text:?}, not one of {}", names.join(", "))
+    })
+}
+
 fn need(text: &Text<'_>, n: usize) -> Result<Need, String> {
     let key = "family-info.needs-by-class";
-    Ok(match text.item(key, n)? {
-        "mutate" => Need::Write,
-        "strong" => Need::Fresh,
-        "causal" => Need::Session,
-        "eventual" => Need::Any,
-        "lag_bound" => {
-            let bound = "family-info.staleness-bound-ms";
-            let ms: f64 = text
-                .item(bound, n)?
-                .parse()
-                .map_err(|_| format!("settings: {bound} item {n} is not a number"))?;
-            Need::Bounded(Span(micros(ms)))
-        }
-        other => return Err(format!("settings: {key} item {n} is {other:?}")),
-    })
+    let names = [
+        ("mutate", Need::Write),
+        ("strong", Need::Fresh),
+        ("causal", Need::Session),
+        ("eventual", Need::Any),
+        ("lag_bound", Need::Bounded(Span(0))),
+    ];
+    let found = choice(&format!("{key} item {n}"), text.item(key, n)?, &names)?;
+    let Need::Bounded(_) = found else { return Ok(found) };
+    let bound = "family-info.staleness-bound-ms";
+    let ms = within(&format!("{bound} item {n}"), text.item(bound, n)?, 0.0..=LONGEST_MS)?;
+    Ok(Need::Bounded(Span(micros(ms))))
 }
 
 fn class(text: &Text<'_>, n: usize) -> Result<Class, String> {
     let key = |name: &str| format!("classes.{n}.{name}");
-    let stretch = key("aim-stretch");
+    let scopes = [("cell", DedupScope::Group), ("all", DedupScope::All), ("zone", DedupScope::Zone)];
     Ok(Class {
         need: need(text, n)?,
-        effect: match text.get(&key("effect"))? {
-            "safe" => Effect::Safe,
-            "unsafe" => Effect::Unsafe,
-            "keyed" => {
-                let scopes =
-                    [("cell", DedupScope::Group), ("all", DedupScope::All), ("zone", DedupScope::Zone)];
-                Effect::Keyed(text.choice(&key("group"), &scopes)?, text.span(&key("window-ms"))?)
-            }
-            other => return Err(format!("settings: {} is {other:?}", key("effect"))),
+        effect: match text.choice(&key("effect"), &[("safe", 0), ("keyed", 1), ("unsafe", 2)])? {
+            0 => Effect::Safe,
+            // A window of 0 is one in which nothing is repeated.
+            1 => Effect::Keyed(text.choice(&key("group"), &scopes)?, text.span(&key("window-ms"), 0.0)?),
+            _ => Effect::Unsafe,
         },
-        aim: text.span(&key("slo-ms"))?,
-        aim_stretch: if text.0.contains_key(stretch.as_str()) { text.float(&stretch)? } else { 0.0 },
-        deadline: text.span(&key("deadline-ms"))?,
-        worth: text.float(&key("worth"))?,
-        late_worth: text.float(&key("late-worth"))?,
+        aim: text.span(&key("slo-ms"), SHORTEST_MS)?,
+        aim_stretch: text.number_or(&key("aim-stretch"), 0.0, 0.0..=1e6)?,
+        deadline: text.span(&key("deadline-ms"), SHORTEST_DEADLINE_MS)?,
+        worth: text.number(&key("worth"), 0.0..=1e9)?,
+        late_worth: text.number(&key("late-worth"), 0.0..=1.0)?,
     })
 }
 
+/// Tenants, of which there may be none; a list of anything else is no list of tenants.
+fn tenants(text: &Text<'_>) -> Result<Vec<Tenant>, String> {
+    let count = match (text.find("tenants.count"), text.find("tenants")) {
+        (Some(_), _) => text.whole("tenants.count", 0.0..=MOST_ITEMS)?,
+        (None, None) => 0,
+        (None, Some(other)) => return Err(format!("settings: tenants is {other:?}, not a list of tenants")),
+    };
+    let allowance = |n| text.number(&format!("tenants.{n}.allowance-per-s"), 0.0..=1e9);
+    (0..count).map(|n| Ok(Tenant { allowance: allowance(n)? })).collect()
+}
+
+/// How often the list has to be asked for. Where it comes unasked that bounds pauses only, and 0 is no bound.
+fn ask_within(text: &Text<'_>, mode: ListMode) -> Result<Span, String> {
+    let key = "rules.ask-within-ms";
+    if mode == ListMode::Asked {
+        // An answer is waited for over a quarter of it.
+        return text.span(key, 100.0);
+    }
+    let ms = text.number_or(key, 0.0, 0.0..=LONGEST_MS)?;
+    Ok(Span(micros(if ms > 0.0 { ms } else { ASK_WITHIN_MS })))
+}
+
+/// A connection that is not up by then counts as failed, in milliseconds: 1 to 60,000, 250 where nothing says so.
+///
+/// # Errors
+/// The key, where it holds anything else.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+pub fn connect_timeout_ms(source: &str) -> Result<u64, String> {
+    let text = Text::read(source)?;
+    let ms = text.number_or("limits.connect-timeout-ms", CONNECT_TIMEOUT_MS, 1.0..=60_000.0)?;
+    Ok(ms.round() as u64)
+}
+
 /// Reads the settings of an instance. Keys that nothing here asks for are skipped.
 ///
 /// # Errors
 /// What is missing or wrong, by its key.
 pub fn parse(source: &str) -> Result<(Settings, WireFacts), String> {
-    let mut text = Text(BTreeMap::new());
-    for line in source.lines().filter(|l| !l.trim().is_empty()) {
-        let (key, value) =
-            line.split_once('=').ok_or_else(|| format!("settings: no '=' in line {line:?}"))?;
-        text.0.insert(key.trim(), value.trim());
-    }
-    let classes: usize = text.number("classes.count")?;
-    let tenants: usize = if text.0.contains_key("tenants.count") { text.number("tenants.count")? } else { 0 };
+    let text = Text::read(source)?;
+    let classes = text.whole("classes.count", 1.0..=MOST_ITEMS)? as usize;
+    let tenants = tenants(&text)?;
     let removal = "rules.removal-not-binding";
+    let list_mode =
+        text.choice("membership-mode", &[("push", ListMode::Pushed), ("ask", ListMode::Asked)])?;
     let settings = Settings {
         classes: (0..classes).map(|n| class(&text, n)).collect::<Result<_, _>>()?,
-        tenants: (0..tenants)
-            .map(|n| Ok(Tenant { allowance: text.float(&format!("tenants.{n}.allowance-per-s"))? }))
-            .collect::<Result<_, String>>()?,
-        over_share_worth: if tenants > 0 { Some(text.float("over-share-worth")?) } else { None },
-        list_mode: text.choice("membership-mode", &[("push", ListMode::Pushed), ("ask", ListMode::Asked)])?,
+        over_share_worth: match tenants.len() {
+            0 => None,
+            _ => Some(text.number("over-share-worth", 0.0..=1.0)?),
+        },
+        tenants,
+        list_mode,
         listed_role: text.choice(
             "family-info.role-listed",
             &[("trailing", ListedRole::Trailing), ("static", ListedRole::Static), ("off", ListedRole::Off)],
         )?,
-        checks: match text.get("family-info.server-checks")? {
-            "off" => Checks::Off,
-            "bounce" => Checks::Bounce,
-            "await" => Checks::Await(text.span("family-info.catch-up-wait-ms")?),
-            other => return Err(format!("settings: family-info.server-checks is {other:?}")),
+        checks: match text.choice("family-info.server-checks", &[("off", 0), ("bounce", 1), ("await", 2)])? {
+            0 => Checks::Off,
+            1 => Checks::Bounce,
+            _ => Checks::Await(text.span("family-info.catch-up-wait-ms", 0.0)?),
         },
         sessions: text
             .choice("family-info.token-mode", &[("brought", Sessions::Brought), ("kept", Sessions::Kept)])?,
-        routers: match text.number("fleet-size")? {
-            0 => return Err("settings: fleet-size is 0, not a number of gateways from 1 on".into()),
-            gateways => gateways,
-        },
-        zone: ZoneId(text.number("zone")?),
-        tick: text.span("tick-ms")?,
+        routers: text.whole("fleet-size", 1.0..=1e6)?,
+        zone: ZoneId(u8::try_from(text.whole("zone", 0.0..=254.0)?).unwrap_or(u8::MAX)),
+        // Twice as long is waited between looks at what waits: shorter turns would take the whole core.
+        tick: Span(micros(text.number("tick-ms", 0.1..=1000.0)?)),
         limits: Limits {
             cancel: text.flag("limits.cancel")?,
             probing: text.flag("limits.probing")?,
             second_copies: text.flag("limits.second-copies")?,
             retry_after: text.flag("limits.retry-after")?,
-            max_attempts: text.number("limits.max-attempts")?,
-            max_retry_after: text.span("limits.max-retry-after-ms")?,
-            max_open: text.number("limits.most-held")?,
-            conn_idle: text.span("limits.conn-idle-ms")?,
+            max_attempts: text.whole("limits.max-attempts", 1.0..=1e9)?.min(MOST_ATTEMPTS),
+            max_retry_after: text.span("limits.max-retry-after-ms", 0.0)?,
+            max_open: text.whole("limits.most-held", 1.0..=1e7)? as usize,
+            conn_idle: text.span("limits.conn-idle-ms", 0.0)?,
         },
         rules: Rules {
-            ask_within: text.span("rules.ask-within-ms")?,
-            cold_from: text.float("rules.cold-from")?,
-            cold: text.span("rules.cold-ms")?,
-            tip_multiple: text.float("rules.tip-multiple")?,
-            tip_after: text.span("rules.tip-after-ms")?,
-            removal_not_binding: text.0.contains_key(removal) && text.flag(removal)?,
+            ask_within: ask_within(&text, list_mode)?,
+            cold_from: text.number("rules.cold-from", 0.0..=1.0)?,
+            cold: text.span("rules.cold-ms", 0.0)?,
+            tip_multiple: text.number("rules.tip-multiple", 0.001..=1e6)?,
+            tip_after: text.span("rules.tip-after-ms", SHORTEST_MS)?,
+            removal_not_binding: text.find(removal).is_some() && text.flag(removal)?,
         },
     };
     let field = |name: &str| match name {
@@ -197,13 +271,21 @@
         "busy" => Field::Busy,
         _ => Field::Other,
     };
-    let reports = text.get("telemetry.source")? != "off";
+    let reports = text.choice("telemetry.source", &[("off", false), ("inline", true), ("on_probe", true)])?;
+    let key = "telemetry.fields";
+    let is_name = |name: &str| {
+        name.starts_with(char::is_alphabetic) && name.chars().all(|c| c.is_alphanumeric() || c == '_')
+    };
+    let names: Vec<&str> = if reports { text.get(key)?.split(',').collect() } else { vec![] };
+    if let Some(name) = names.iter().find(|name| !is_name(name)) {
+        return Err(format!("settings: {key} holds {name:?}, not the name of a value"));
+    }
     let wire = WireFacts {
-        fields: if reports { text.get("telemetry.fields")?.split(',').map(field).collect() } else { vec![] },
-        zero: Time(micros(text.float("family-info.position-zero-ms")?)),
+        fields: names.into_iter().map(field).collect(),
+        zero: Time(micros(text.number("family-info.position-zero-ms", -1e15..=1e15)?)),
         brought: settings.sessions == Sessions::Brought,
         classes,
-        tenants,
+        tenants: settings.tenants.len(),
     };
     Ok((settings, wire))
 }
--- /dev/null
+++ b/crates/config/tests/operators.rs
@@ -0,0 +1,71 @@
+//! The operators' file: what its settings' rules leave to its own keys.
+
+use std::path::PathBuf;
+
+use rstest::rstest;
+use valehatch_config::operators::Operators;
+
+const FILE: &str = r#"
+[[budget]]
+name = "BUDGET"
+share = 0.5
+allowance-per-s = 100
+
+[[front]]
+protocol = "PROTOCOL"
+listen = "127.0.0.1:5433"
+
+[[front.member]]
+name = "s-1"
+address = "127.0.0.1:5434"
+
+[[front.contract]]
+name = "CONTRACT"
+need = "any"
+effect = "safe"
+aim-ms = 1
+deadline-ms = DEADLINE
+budget = "BUDGET"
+MORE
+"#;
+
+/// The faults of a file with these names.
+fn faults(protocol: &str, contract: &str, budget: &str, deadline: &str) -> String {
+    let more = if protocol == "cassandra" { "statements = [\"select\"]" } else { "" };
+    let text = FILE.replace("PROTOCOL", protocol).replace("CONTRACT", contract).replace("BUDGET", budget);
+    let text = text.replace("DEADLINE", deadline).replace("MORE", more);
+    let tag =
+        format!("{protocol}-{contract}-{budget}-{deadline}").replace(|c: char| !c.is_alphanumeric(), "_");
+    let path: PathBuf = std::env::temp_dir().join(format!("valehatch-{}-{tag}.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let read = Operators::load(&path);
+    std::fs::remove_file(&path).unwrap();
+    read.err().map_or(String::new(), |faults| faults.to_string())
+}
+
+/// A request to a PostgreSQL front says names in its comment; a Cassandra front's are known by their statements.
+#[rstest]
+#[case("postgresql", "read", "acme", "")]
+#[case("postgresql", "read,all", "acme", "front.0.contract.0.name")]
+#[case("postgresql", "read*/", "acme", "front.0.contract.0.name")]
+#[case("postgresql", "read", "ac,me", "front.0.protocol")]
+#[case("cassandra", "read,all", "ac,me", "")]
+fn a_name_that_no_request_can_say_is_named(
+    #[case] protocol: &str,
+    #[case] contract: &str,
+    #[case] budget: &str,
+    #[case] key: &str,
+) {
+    let said = faults(protocol, contract, budget, "100");
+    assert_eq!(said.is_empty(), key.is_empty(), "{said}");
+    assert!(said.contains(key), "{said}");
+}
+
+#[rstest]
+#[case("10", "")]
+#[case("9", "front.0.contract.0.deadline-ms")]
+fn a_deadline_that_leaves_no_time_is_named(#[case] deadline: &str, #[case] key: &str) {
+    let said = faults("postgresql", "read", "acme", deadline);
+    assert_eq!(said.is_empty(), key.is_empty(), "{said}");
+    assert!(said.contains(key), "{said}");
+}
--- /dev/null
+++ b/crates/config/tests/settings.rs
@@ -0,0 +1,262 @@
+//! Every key of the platform's settings, with values that are missing, null, nought, negative, huge or of another type:
+//! a stated default, or an error that names the key.
+
+mod site;
+
+use rstest::rstest;
+use serde_json::{Value, json};
+use site::{settings, with, without};
+use valehatch_config::Site;
+use valehatch_policy::{Checks, DedupScope, Effect, Need, Span};
+
+fn read(settings: &Value) -> Result<Site, String> {
+    Site::from_json(settings)
+}
+
+fn shown(settings: &Value) -> String {
+    format!("{:?}", read(settings).expect("settings that can be served"))
+}
+
+/// What is tried with each key, in the order of the letters of a row.
+fn tries(key: &str) -> [(&'static str, Value); 9] {
+    [
+        ("missing", without(key)),
+        ("null", with(key, Value::Null)),
+        ("0", with(key, json!(0))),
+        ("negative", with(key, json!(-1.5))),
+        ("huge", with(key, json!(1e300))),
+        ("a text", with(key, json!("NaN"))),
+        ("a list", with(key, json!([5]))),
+        ("an object", with(key, json!({"a": 5}))),
+        ("a truth", with(key, json!(true))),
+    ]
+}
+
+/// E: an error that names the key. A: taken as given. D: as with the default.
+#[rstest]
+#[case("areas", "DDEEEEEEE", json!([]))]
+#[case("skus", "DDEEEEEEE", json!([]))]
+#[case("classes", "EEEEEEEEE", Value::Null)]
+#[case("classes.1.name", "EEEEEAEEE", Value::Null)]
+#[case("classes.1.effect", "EEEEEEEEE", Value::Null)]
+#[case("classes.1.group", "EEEEEEEEE", Value::Null)]
+#[case("classes.1.window-ms", "EEAEEEEEE", Value::Null)]
+#[case("classes.0.slo-ms", "EEEEEEEEE", Value::Null)]
+#[case("classes.0.deadline-ms", "EEEEEEEEE", Value::Null)]
+#[case("classes.0.worth", "EEAEEEEEE", Value::Null)]
+#[case("classes.0.late-worth", "EEAEEEEEE", Value::Null)]
+#[case("classes.0.aim-stretch", "DDDEEEEEE", json!(0.0))]
+#[case("family-info.needs-by-class", "EEEEEEEEE", Value::Null)]
+#[case("family-info.staleness-bound-ms", "EEAEEEAEE", Value::Null)]
+#[case("family-info.position-zero-ms", "EEAAEEEEE", Value::Null)]
+#[case("family-info.role-listed", "EEEEEEEEE", Value::Null)]
+#[case("family-info.server-checks", "EEEEEEEEE", Value::Null)]
+#[case("family-info.catch-up-wait-ms", "EEAEEEEEE", Value::Null)]
+#[case("family-info.token-mode", "EEEEEEEEE", Value::Null)]
+#[case("fleet-size", "EEEEEEEEE", Value::Null)]
+#[case("zone", "EEAEEEEEE", Value::Null)]
+#[case("tick-ms", "EEEEEEEEE", Value::Null)]
+#[case("membership-mode", "EEEEEEEEE", Value::Null)]
+#[case("limits.cancel", "EEEEEEEEA", Value::Null)]
+#[case("limits.probing", "EEEEEEEEA", Value::Null)]
+#[case("limits.retry-after", "EEEEEEEEA", Value::Null)]
+#[case("limits.second-copies", "EEEEEEEEA", Value::Null)]
+#[case("limits.conn-idle-ms", "EEAEEEEEE", Value::Null)]
+#[case("limits.connect-timeout-ms", "DDEEEEEEE", json!(250))]
+#[case("limits.max-attempts", "EEEEEEEEE", Value::Null)]
+#[case("limits.max-retry-after-ms", "EEAEEEEEE", Value::Null)]
+#[case("limits.most-held", "EEEEEEEEE", Value::Null)]
+#[case("rules.ask-within-ms", "DDDEEEEEE", json!(10_000))]
+#[case("rules.cold-from", "EEAEEEEEE", Value::Null)]
+#[case("rules.cold-ms", "EEAEEEEEE", Value::Null)]
+#[case("rules.tip-after-ms", "EEEEEEEEE", Value::Null)]
+#[case("rules.tip-multiple", "EEEEEEEEE", Value::Null)]
+#[case("rules.removal-not-binding", "DDEEEEEEA", json!(false))]
+#[case("telemetry.fields", "EEEEEAEEA", Value::Null)]
+#[case("telemetry.source", "EEEEEEEEE", Value::Null)]
+#[case("tenants", "DDEEEEEEE", json!([]))]
+#[case("tenants.0.name", "EEEEEAEEE", Value::Null)]
+#[case("tenants.0.allowance-per-s", "EEAEEEEEE", Value::Null)]
+#[case("over-share-worth", "EEAEEEEEE", Value::Null)]
+fn a_key_has_a_stated_default_or_an_error_that_names_it(
+    #[case] key: &str,
+    #[case] row: &str,
+    #[case] default: Value,
+) {
+    for ((what, tried), expected) in tries(key).into_iter().zip(row.chars()) {
+        let got = read(&tried);
+        match expected {
+            'E' => {
+                let said = got.expect_err(&format!("{key}, {what}, is refused"));
+                assert!(said.contains(key), "{key}, {what}: {said}");
+            }
+            'A' => assert!(got.is_ok(), "{key}, {what}: {got:?}"),
+            _ => assert_eq!(shown(&tried), shown(&with(key, default.clone())), "{key}, {what}"),
+        }
+    }
+}
+
+/// What is given where it is taken as given, at both ends of its bounds and beyond them.
+#[rstest]
+#[case("classes.0.slo-ms", &[0.001, 2.592e9], &[0.0001, 2.6e9])]
+#[case("classes.0.deadline-ms", &[10.0, 172_800_000.0], &[9.9, 2.6e9])]
+#[case("classes.0.worth", &[0.0, 1e9], &[1.1e9])]
+#[case("classes.0.late-worth", &[0.0, 1.0], &[1.01])]
+#[case("fleet-size", &[1.0, 100_000.0, 1e6], &[1.5, 1_000_001.0])]
+#[case("zone", &[0.0, 1.0], &[2.0, 0.5, 255.0])]
+#[case("tick-ms", &[0.1, 1000.0], &[0.05, 1001.0])]
+#[case("limits.most-held", &[1.0, 1e7], &[0.5, 1.1e7])]
+#[case("limits.connect-timeout-ms", &[1.0, 60_000.0], &[0.9, 60_001.0])]
+#[case("rules.ask-within-ms", &[0.0, 100.0, 2.592e9], &[2.6e9])]
+#[case("rules.cold-from", &[0.0, 1.0], &[1.01])]
+#[case("rules.tip-multiple", &[0.001, 1e6], &[0.0, 1.1e6])]
+#[case("tenants.0.allowance-per-s", &[0.0, 1e9], &[1.1e9])]
+#[case("over-share-worth", &[0.0, 1.0], &[1.01])]
+fn bounds_are_where_they_are_stated(#[case] key: &str, #[case] good: &[f64], #[case] bad: &[f64]) {
+    for value in good {
+        let got = read(&with(key, json!(value)));
+        assert!(got.is_ok(), "{key}={value}: {got:?}");
+    }
+    for value in bad {
+        let said = read(&with(key, json!(value))).expect_err(&format!("{key}={value}"));
+        assert!(said.contains(key), "{key}={value}: {said}");
+    }
+}
+
+#[test]
+fn names_are_those_of_the_json() {
+    let site = read(&settings()).unwrap();
+    assert_eq!(site.classes, ["plads check", "køb", "én gang", "42"]);
+    assert_eq!(site.tenants, ["strand lejren", "skovbakken"]);
+    assert_eq!(site.zones, ["hal a", "hal ø"]);
+    assert_eq!(site.kinds, ["std 4"]);
+}
+
+/// The flat form cannot hold them apart; the names that clients and discovery use are not read from it.
+#[rstest]
+#[case("areas", json!(["hal a", "hal_a"]))]
+#[case("areas", json!(["a,b", "c"]))]
+#[case("areas", json!(["a=b", "c\nd"]))]
+fn names_of_zones_are_any_texts(#[case] key: &str, #[case] names: Value) {
+    let site = read(&with(key, names.clone())).unwrap();
+    assert_eq!(json!(site.zones), names);
+}
+
+#[rstest]
+#[case("classes.1.name", json!("plads check"), "classes.0.name")]
+#[case("classes.1.name", json!("a,b"), "a,b")]
+#[case("classes.1.name", json!("a */ b"), "a */ b")]
+#[case("classes.1.name", json!(""), "empty")]
+#[case("classes.1.name", json!(" køb"), "space")]
+#[case("classes.1.name", json!("køb\n"), "space")]
+#[case("classes.1.name", json!("køb\nx"), "control")]
+#[case("classes.1.name", json!("køb\u{0}"), "control")]
+#[case("classes.1.name", json!(7), "7")]
+#[case("tenants.1.name", json!("strand lejren"), "tenants.0.name")]
+#[case("tenants.1.name", json!("a,b"), "a,b")]
+#[case("areas", json!(["hal a", "hal a"]), "hal a")]
+#[case("areas", json!(["hal a", 7]), "7")]
+fn a_name_that_cannot_be_told_is_named(#[case] key: &str, #[case] name: Value, #[case] what: &str) {
+    let said = read(&with(key, name)).expect_err("refused");
+    assert!(said.contains(key) && said.contains(what), "{said}");
+}
+
+#[test]
+fn a_name_that_figures_cannot_tell_is_named() {
+    assert_eq!(read(&settings()).unwrap().tellable(), Ok(()));
+    for name in ["plads:check", "plads|check"] {
+        let site = read(&with("classes.1.name", json!(name))).unwrap();
+        let said = site.tellable().expect_err("refused");
+        assert!(said.contains("classes.1.name") && said.contains(name), "{said}");
+    }
+}
+
+#[test]
+fn a_class_without_a_name_moves_no_other() {
+    let said = read(&without("classes.1.name")).expect_err("refused");
+    assert!(said.contains("classes.1.name"), "{said}");
+}
+
+/// Whatever the settings allow, a request is not tried more than six times.
+#[rstest]
+#[case(1, 1)]
+#[case(6, 6)]
+#[case(7, 6)]
+#[case(100, 6)]
+fn attempts_are_six_at_the_most(#[case] allowed: u32, #[case] made: u32) {
+    let site = read(&with("limits.max-attempts", json!(allowed))).unwrap();
+    assert_eq!(site.settings.limits.max_attempts, made);
+}
+
+/// A key that has moved or is named otherwise is missed by its own name.
+#[rstest]
+#[case("limits.max-attempts")]
+#[case("family-info.needs-by-class")]
+#[case("rules.cold-ms")]
+#[case("tick-ms")]
+fn a_key_that_has_moved_is_missed_by_its_name(#[case] key: &str) {
+    let mut moved = without(key);
+    let value = settings().pointer(&site::pointer(key)).unwrap().clone();
+    moved["elsewhere"] = json!({ "moved": value });
+    assert!(read(&moved).expect_err("refused").contains(&format!("{key} is missing")));
+}
+
+#[test]
+fn where_the_list_is_asked_for_the_time_must_be_there() {
+    for value in [json!(null), json!(0), json!(99)] {
+        let mut asked = with("rules.ask-within-ms", value);
+        asked["membership-mode"] = json!("ask");
+        assert!(read(&asked).expect_err("refused").contains("rules.ask-within-ms"));
+    }
+}
+
+#[test]
+fn what_is_off_needs_no_more() {
+    let mut bare = without("telemetry.fields");
+    bare["telemetry"]["source"] = json!("off");
+    bare["family-info"]["server-checks"] = json!("off");
+    bare["family-info"].as_object_mut().unwrap().remove("catch-up-wait-ms");
+    bare["tenants"] = json!([]);
+    bare.as_object_mut().unwrap().remove("over-share-worth");
+    let site = read(&bare).unwrap();
+    assert!(site.wire.fields.is_empty() && site.tenants.is_empty());
+    assert_eq!((site.settings.checks, site.settings.over_share_worth), (Checks::Off, None));
+}
+
+#[test]
+fn two_sites_are_each_as_they_say() {
+    let first = read(&settings()).unwrap();
+    let mut other = with("classes.0.effect", json!("unsafe"));
+    other["classes"][1]["group"] = json!("zone");
+    other["classes"][1]["window-ms"] = json!(90_000);
+    other["family-info"]["needs-by-class"] = json!(["mutate", "mutate", "strong", "causal"]);
+    let second = read(&other).unwrap();
+    let (one, two) = (&first.settings.classes, &second.settings.classes);
+    assert_eq!((one[0].effect, one[0].need), (Effect::Safe, Need::Bounded(Span::from_millis(300))));
+    assert_eq!((two[0].effect, two[0].need), (Effect::Unsafe, Need::Write));
+    assert_eq!(one[1].effect, Effect::Keyed(DedupScope::Group, Span::from_millis(2_000)));
+    assert_eq!(two[1].effect, Effect::Keyed(DedupScope::Zone, Span::from_millis(90_000)));
+    assert_eq!((two[2].need, two[3].need), (Need::Fresh, Need::Session));
+}
+
+#[rstest]
+#[case(json!(5))]
+#[case(json!("x"))]
+#[case(json!([]))]
+#[case(Value::Null)]
+#[case(json!({}))]
+fn settings_that_are_none_are_named(#[case] none: Value) {
+    let said = read(&none).expect_err("refused");
+    assert!(said.contains("settings"), "{said}");
+}
+
+/// A key of the JSON can be any text; none may stand in for another.
+#[test]
+fn a_key_cannot_write_other_keys() {
+    let mut forged = without("limits.cancel");
+    forged["x\nlimits.cancel"] = json!(true);
+    assert!(read(&forged).expect_err("refused").contains("limits.cancel is missing"));
+    let mut named = settings();
+    named["tick-ms=7"] = json!(5);
+    assert_eq!(read(&named).unwrap().settings.tick, Span::from_millis(5));
+}
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -45,6 +45,7 @@
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG names no configuration")?;
     let Gateway { name, listen, discovery, mgmt, seed, sockets, memory_mb, known, site } = load(&path)?;
     let mgmt = management(mgmt)?;
+    mgmt.map_or(Ok(()), |_| site.tellable())?;
     valehatch_net::log::init(Log::default());
     let (clock, inbox) = (Clock::start(), bounded(QUEUE));
     let place = Arc::new(list::Place::new(discovery));
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -342,7 +342,8 @@
             }
         };
         let name = Arc::from(target.uid.as_str());
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u8;
+        let place =
+            |all: &[String], name: &str| all.iter().position(|n| n == name).map_or(u8::MAX, |n| n as u8);
         Some(Member {
             entry: Entry {
                 zone: ZoneId(place(&self.site.zones, &target.az)),
--- a/crates/pg/src/codec.rs
+++ b/crates/pg/src/codec.rs
@@ -193,7 +193,8 @@
     let mut out = Vec::with_capacity(query.len() + 8);
     let end = query.windows(2).position(|w| w == b"*/").unwrap_or(0);
     let starts = |at: &usize| {
-        query[*at..].starts_with(b"d=") && (*at == 0 || matches!(query[at - 1], b',' | b' ' | b'*'))
+        query[*at..].starts_with(b"d=")
+            && matches!(query[..*at].trim_ascii_end().last(), None | Some(b',' | b'*'))
     };
     let Some(at) = (0..end).find(starts) else { return query.to_vec() };
     let value = query[at + 2..end].iter().take_while(|b| !matches!(b, b',' | b' ')).count();
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -44,6 +44,8 @@
 const DOUBTS: u32 = 3;
 /// How many times the first pause the pauses between questions to members grow to.
 const LONGEST_GAP: f64 = 8.0;
+/// Answers and lags are remembered for so long at least, however soon a member gets warm.
+const MEMORY: Span = Span::from_millis(1000);
 /// A query that takes more than this part of the tightest bound on age is long.
 const LONG_PART: f64 = 0.7;
 
@@ -226,7 +228,7 @@
             served_at: Time(i64::MIN),
             usual_value: 0.0,
             class_deviation: cfg.classes.iter().map(|c| c.aim.as_f64() / 8.0).collect(),
-            class_latency: cfg.classes.iter().map(|c| c.aim.as_f64() / 4.0).collect(),
+            class_latency: cfg.classes.iter().map(|c| (c.aim.as_f64() / 4.0).max(1.0)).collect(),
             probe_latency: cfg.tick.as_f64(),
             ask_at: (cfg.list_mode == ListMode::Asked).then_some(Time(i64::MIN)),
             ask_gap: Span(cfg.rules.ask_within.0 / 16),
@@ -587,7 +589,7 @@
     }
 
     fn value(&self, open: &Open) -> f64 {
-        self.cfg.classes[open.class.0].worth / self.class_latency[open.class.0]
+        self.cfg.classes[open.class.0].worth.max(1e-9) / self.class_latency[open.class.0]
     }
 
     fn rank(&self, id: RequestId) -> (i64, i64) {
@@ -604,11 +606,11 @@
         if !open.out.is_empty() {
             return false;
         }
-        let class = &self.cfg.classes[open.class.0];
+        let (class, tick) = (&self.cfg.classes[open.class.0], self.cfg.tick);
         let expected = Span(1).times(self.class_latency[open.class.0]);
         let window_over = self.repeats_until(open).is_some_and(|at| self.now >= at);
         // Never sent by half its time: its client is told while it can come back.
-        let half = Span((open.deadline - open.arrived).0 / 2 - self.cfg.tick.0 * 4);
+        let half = Span((open.deadline - open.arrived).0 / 2 - (tick.0 * 4).min(class.deadline.0 / 8));
         let held = open.attempts == 0 && self.now - open.arrived > half;
         let useless = held || self.now + expected > open.useful_until && self.now > open.arrived;
         let (spent, over) = (open.attempts >= self.cfg.limits.max_attempts, self.now >= open.deadline);
@@ -636,8 +638,8 @@
         if group.search.is_none() {
             return group.primary.filter(|p| self.grants(*p, 0.0));
         }
-        // A leader keeps one attempt for the primary that is found.
-        if open.attempts + 1 >= self.cfg.limits.max_attempts {
+        // A leader keeps one attempt for the primary that is found, if it has more than one.
+        if open.attempts + 1 >= self.cfg.limits.max_attempts.max(2) {
             return None;
         }
         let (group, now) = (open.group, self.now);
@@ -681,8 +683,8 @@
     /// Until when a repeat is sure to be dropped where an earlier attempt may have run.
     fn repeats_until(&self, open: &Open) -> Option<Time> {
         match self.cfg.classes[open.class.0].effect {
+            Effect::Unsafe | Effect::Keyed(DedupScope::Zone, _) => open.ran_from,
             Effect::Keyed(_, window) => Some(open.ran_from? + window - Span(self.cfg.tick.0 * 2)),
-            Effect::Unsafe => open.ran_from,
             Effect::Safe => None,
         }
     }
@@ -758,7 +760,7 @@
             let need = Self::needed(class, open.floor, sent.unwrap_or(now));
             let node = self.nodes.get_mut(&end.node).filter(|_| end.outcome == Outcome::Miss);
             if let (Some(node), Some(need)) = (node, need) {
-                (node.lag, node.told_at) = (Span((now - need).0 * 2), now);
+                (node.lag, node.told_at) = (Span((now - need).0.saturating_mul(2)), now);
             }
         } else if matches!(end.outcome, Outcome::Full | Outcome::ConnectFailed) {
             open.not_before = now + Span(1).times(self.class_latency[open.class.0]);
@@ -782,7 +784,7 @@
             (node.excess, node.excess_at) = (before + EXCESS_GAIN * (excess - before), self.now);
         }
         let full = if end.outcome == Outcome::Full { STRAIN.1 } else { 0.0 };
-        let part = (end.latency.as_f64() / class.aim.as_f64()).clamp(full, 2.0);
+        let part = (end.latency.as_f64() / class.aim.as_f64().max(1.0)).clamp(full, 2.0);
         if !end.outcome.never_ran() || end.outcome == Outcome::Full {
             // Answers from other groups stand in where a group has few of its own.
             let primary = self.groups.get(&node.group).is_some_and(|g| g.primary == Some(end.node));
@@ -810,7 +812,7 @@
         let sample = end.latency.as_f64();
         let (mean, deviation) = (&mut self.class_latency[class_id.0], &mut self.class_deviation[class_id.0]);
         *deviation += GAIN * ((sample - *mean).abs() - *deviation);
-        *mean += GAIN * (sample - *mean);
+        *mean = (*mean + GAIN * (sample - *mean)).max(1.0);
         let kept = class.need == Need::Write && self.cfg.sessions == Sessions::Kept;
         let (true, Some(key), Some(at)) = (kept, key, end.position) else { return };
         let kept = *self.sessions.entry(key).and_modify(|kept| *kept = at.max(*kept)).or_insert(at);
@@ -961,14 +963,14 @@
     /// is the sum over all routers, none of which may be due a whole attempt: credit accrues in fractions and
     /// a fraction is a chance. Acts on all that is sent. May hurt a write whose primary is cold.
     fn cold_draw(&mut self, id: NodeId) -> bool {
-        let rules = &self.cfg.rules;
+        let (rules, over) = (&self.cfg.rules, self.cfg.rules.cold.max(MEMORY).as_f64());
         let Some(node) = self.nodes.get(&id) else { return false };
         let Some(part) = self.warm_part(node) else { return true };
         // What a member can do is at least what this router's warm ones do, and its part of what tenants may
         // ask of all: a router that has just started, or seldom meets a member, has seen next to nothing.
         let size: f64 = self.nodes.values().filter(|n| n.state == NodeState::Ready).map(|n| n.weight).sum();
         let quota = self.cfg.tenants.iter().map(|t| t.allowance).sum::<f64>() / f64::from(self.cfg.routers);
-        let usual = (self.served_now() / rules.cold.as_f64()).max(quota / 1e6 / size) * node.weight;
+        let usual = (self.served_now() / over).max(quota / 1e6 / size) * node.weight;
         let allowed = COLD_SAFETY * rules.tip_multiple * part * usual;
         let since = (self.now - node.credit_at.max(self.now - rules.tip_after)).as_f64();
         // What is saved up and what accrues meanwhile stay within the budget of any one window.
@@ -1017,5 +1019,5 @@
 }
 
 fn faded(amount: f64, after: Span, over: Span) -> f64 {
-    amount * (-after.as_f64() / over.as_f64()).exp()
+    amount * (-after.as_f64() / over.max(MEMORY).as_f64()).exp()
 }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -104,7 +104,7 @@
 pub enum DedupScope {
     /// Among all nodes.
     All,
-    /// Among the nodes of one zone.
+    /// Among the nodes of one zone: what may have run is never repeated, as a group's next primary may stand in another.
     Zone,
     /// Within the request's group.
     Group,
--- /dev/null
+++ b/crates/policy/tests/extremes.rs
@@ -0,0 +1,177 @@
+//! Settings at the ends of what they may be: each is acted on as it says, and no decision rests on a number that is none.
+
+mod script;
+
+use script::*;
+use valehatch_policy::*;
+
+/// Requests that a member answers at once, one after another; how many of them were refused.
+fn refused_of(s: &mut Script, class: ClassId, first: u64, count: u64) -> usize {
+    for id in first..first + count {
+        s.request(id, class);
+        if s.at(id).is_some() {
+            s.now = s.now + ms(20);
+            s.end(id, Outcome::Ok, Some(Role::Replica));
+        }
+    }
+    (first..first + count).filter(|id| s.refused(*id)).count()
+}
+
+#[test]
+fn a_class_of_no_worth_is_served_while_nothing_is_strained() {
+    let mut cfg = settings();
+    cfg.classes[ANY.0].worth = 0.0;
+    let mut s = Script::group(cfg, 3, 1);
+    assert_eq!(refused_of(&mut s, ANY, 1, 100), 0, "of a hundred of no worth");
+    assert_eq!(refused_of(&mut s, BOUNDED, 101, 20), 0, "of those of some");
+    assert_eq!(refused_of(&mut s, ANY, 201, 100), 0, "of a hundred of no worth after those");
+    assert!(!s.shows("NaN"));
+}
+
+#[test]
+fn classes_of_all_worths_are_served_while_nothing_is_strained() {
+    let mut cfg = settings();
+    (cfg.classes[ANY.0].worth, cfg.classes[BOUNDED.0].worth) = (0.0, 1e9);
+    let mut s = Script::group(cfg, 3, 1);
+    for n in 0..20 {
+        assert_eq!(refused_of(&mut s, BOUNDED, 1 + 100 * n, 5), 0);
+        assert_eq!(refused_of(&mut s, ANY, 50 + 100 * n, 5), 0);
+    }
+}
+
+#[test]
+fn what_zones_deduplicate_is_never_repeated() {
+    let mut cfg = settings();
+    cfg.classes[KEYED.0].effect = Effect::Keyed(DedupScope::Zone, ms(2000));
+    let mut s = Script::group(cfg, 3, 1);
+    s.request(1, KEYED);
+    s.end(1, Outcome::Reset, None);
+    s.run(100);
+    assert_eq!(s.sends.len(), 1, "the next primary may stand in another zone");
+    assert!(s.failed(1), "it may have run");
+    // What certainly did not run is tried again.
+    s.request(2, KEYED);
+    s.end(2, Outcome::Full, None);
+    s.run(1000);
+    assert!(s.sends.iter().filter(|(id, _)| id.0 == 2).count() > 1);
+}
+
+#[test]
+fn one_attempt_is_enough_to_look_for_a_primary() {
+    let mut cfg = settings();
+    cfg.limits.max_attempts = 1;
+    cfg.limits.probing = false;
+    cfg.listed_role = ListedRole::Off;
+    let mut s = Script::group(cfg, 3, 1);
+    s.request(1, WRITE);
+    s.end(1, Outcome::Miss, Some(Role::Replica));
+    assert!(s.refused(1));
+    s.request(2, WRITE);
+    s.run(20);
+    assert_eq!(s.at(2), Some(2), "the next member is tried");
+    s.end(2, Outcome::Ok, Some(Role::Primary));
+    s.request(3, WRITE);
+    assert_eq!(s.at(3), Some(2), "and is the primary from there on");
+}
+
+#[test]
+fn a_class_that_waits_for_a_few_turns_only_is_served() {
+    let mut cfg = settings();
+    (cfg.classes[ANY.0].deadline, cfg.classes[ANY.0].aim) = (ms(30), ms(10));
+    let mut s = Script::group(cfg, 3, 1);
+    s.request_with(1, ANY, 30, None);
+    assert!(s.at(1).is_some(), "it is not refused as it comes");
+}
+
+#[test]
+fn turns_as_long_as_a_class_waits_refuse_nothing_unseen() {
+    let mut cfg = settings();
+    cfg.tick = ms(1000);
+    let mut s = Script::group(cfg, 3, 1);
+    s.request(1, ANY);
+    assert!(s.at(1).is_some());
+}
+
+#[test]
+fn members_that_never_are_cold_are_warm_at_once() {
+    let mut cfg = settings();
+    cfg.rules.cold = Span(0);
+    let mut s = Script::group(cfg, 3, 1);
+    let started = |n, at| Entry { started: Some(at), ..entry(n, false, NodeState::Ready) };
+    let now = s.now;
+    s.list(false, vec![started(2, now), started(3, now)]);
+    for id in 1..50 {
+        s.request(id, ANY);
+        let node = s.at(id).expect("sent as it comes");
+        // One of the two is slow, which is remembered however soon members get warm.
+        s.now = s.now + ms(if node == 3 { 400 } else { 20 });
+        s.end(id, Outcome::Ok, Some(Role::Replica));
+        assert!(!s.shows("NaN"));
+    }
+    let slow = s.sends.iter().filter(|(_, node)| node.0 == 3).count();
+    assert!(slow < 20, "the slow one got {slow} of 49");
+}
+
+#[test]
+fn the_shortest_aim_makes_no_number_none() {
+    let mut cfg = settings();
+    cfg.classes.iter_mut().for_each(|c| c.aim = Span(0));
+    let mut s = Script::group(cfg, 3, 1);
+    for id in 1..20 {
+        s.request(id, ANY);
+        if s.at(id).is_some() {
+            s.end(id, Outcome::Ok, Some(Role::Replica));
+        }
+        assert!(!s.shows("NaN") && !s.shows(": inf") && !s.shows("[inf"));
+    }
+}
+
+/// What answers of warm members tell is remembered for longer than these members take to get warm, and counts for as long.
+#[test]
+fn members_that_get_warm_soon_keep_their_budget_until_then() {
+    let mut cfg = settings();
+    (cfg.rules.cold, cfg.rules.tip_after, cfg.rules.tip_multiple) = (ms(100), ms(100), 0.2);
+    let mut s = Script::group(cfg, 3, 1);
+    let mut id = 0;
+    let mut reads = |s: &mut Script, count: usize| {
+        for _ in 0..count {
+            id += 1;
+            s.request(id, ANY);
+            s.now = s.now + Span(2500);
+            s.end(id, Outcome::Ok, Some(Role::Replica));
+        }
+    };
+    reads(&mut s, 400);
+    let mut sent = 0;
+    for node in 10..20 {
+        let now = s.now;
+        s.list(false, vec![Entry { started: Some(now), ..entry(node, false, NodeState::Ready) }]);
+        reads(&mut s, 38);
+        s.list(false, vec![entry(node, false, NodeState::Gone)]);
+        sent += s.sends.iter().filter(|(_, to)| to.0 == node).count();
+    }
+    // Two warm ones are sent 200 a second each, a cold one has 0.2 of 0.6 of that: 2.4 in each of ten tenths of a second.
+    assert!(sent <= 24, "cold members got {sent}");
+}
+
+#[test]
+fn answers_that_take_no_time_refuse_nothing() {
+    let mut s = Script::group(settings(), 3, 1);
+    for id in 1..=8000 {
+        s.request(id, ANY);
+        s.end(id, Outcome::Ok, Some(Role::Replica));
+    }
+    assert!(!s.shows("NaN") && !s.shows(": inf") && !s.shows("[inf"));
+    assert_eq!((1..=8000).filter(|id| s.refused(*id)).count(), 0);
+}
+
+#[test]
+fn a_session_that_wrote_before_all_time_is_a_session() {
+    let mut cfg = settings();
+    cfg.checks = Checks::Bounce;
+    let mut s = Script::group(cfg, 3, 1);
+    s.request_with(1, SESSION, 3000, Some(i64::MAX / 1000));
+    s.end(1, Outcome::Miss, Some(Role::Replica));
+    s.run(50);
+    assert!(s.sends.len() > 1, "another member is tried");
+}
