Close every connection of a client in one way, and see it leave while it is owed answers

A long answer's cut, NODELAY, backlog, restart and floods: no fault found, their tests stay. Left: connects that never pause can still meet the moment between the last accept and the close of the listener.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,8 @@
 const CLOSE_EACH: Span = Span::from_millis(25);
 /// So long before it the program ends, whatever clients still hold open: they have been told, and are not waited for.
 const GONE: Span = Span::from_millis(100);
+/// How often, from then on, it is asked to end: it does once nothing is half read or half written.
+const EXIT_EACH: Span = Span::from_millis(5);
 /// A final answer leaves this long before the client stops waiting.
 const HEADSTART: Span = Span::from_millis(5);
 /// What is believed is published no more often than this for each member: it takes a microsecond or so.
@@ -280,6 +282,10 @@
                 self.count_asked(tenant, now);
                 self.record_unheld(class, tenant, group, Ending::Refused(why), effects);
             }
+            Event::Abandoned { class, tenant, group } => {
+                self.count_asked(tenant, now);
+                self.record_unheld(class, tenant, group, Ending::Aborted, effects);
+            }
             Event::Began(conn) => told.extend(self.on_began(now, conn, effects)),
             Event::Ended { conn, reply, reusable } => {
                 told.extend(self.on_reply(now, conn, reply, reusable, effects));
@@ -648,11 +654,18 @@
             Due::Unlisten => effects.push(Effect::StopListening),
             Due::Stop => {
                 self.stopped = true;
-                let idle = self.clients.iter().filter(|(_, c)| c.open.is_empty());
-                effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
+                if self.ended {
+                    effects.push(Effect::CloseClients);
+                } else {
+                    let idle = self.clients.iter().filter(|(_, c)| c.open.is_empty());
+                    effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
+                }
                 self.due.insert((now + CLOSE_EACH, Due::Stop));
             }
-            Due::Exit => effects.push(Effect::Exit),
+            Due::Exit => {
+                effects.push(Effect::Exit);
+                self.due.insert((now + EXIT_EACH, Due::Exit));
+            }
             Due::End => {
                 self.ended = true;
                 // What is passed on goes on until the program ends.
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -142,6 +142,12 @@
         ticket: u64,
         ask: Ask,
     },
+    /// A request that was whole when its client had left: it is counted, and does not run.
+    Abandoned {
+        class: usize,
+        tenant: Option<usize>,
+        group: GroupId,
+    },
     /// A request that a front refused itself, for want of room or of places.
     Declined {
         class: usize,
@@ -242,6 +248,9 @@
         answer: Answer,
     },
     CloseClient(ClientId),
+    /// The program is about to end: all connections of clients on which nothing is open end, however short a time ago they were
+    /// answered.
+    CloseClients,
     StopListening,
     /// Something that whoever reads the log should know.
     Note(Note),
@@ -249,6 +258,7 @@
     Record(Box<Record>),
     /// What is to be shown to whoever watches.
     Publish(Box<Live>),
+    /// The program is to end, once nothing is half read or half written: it is asked for again until then.
     Exit,
 }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -171,6 +171,7 @@
                 Effect::Pass { conn, client, ticket } => servers.pass(conn, clients.passage(client, ticket)),
                 Effect::Answer { client, ticket, answer } => clients.answer(client, ticket, answer),
                 Effect::CloseClient(client) => clients.close(client),
+                Effect::CloseClients => clients.close_all(),
                 Effect::StopListening => clients.stop(false),
                 Effect::Note(Note::Shares(what)) => warn!("door: shares stay as they were: {what}"),
                 Effect::Note(Note::ServersFull(n)) => warn!("all {n} connections to servers are in use"),
@@ -186,7 +187,7 @@
                     }
                     board.store(Some(Arc::new(Board { live: *live, queue: inbox.len() })));
                 }
-                Effect::Exit => return false,
+                Effect::Exit => return !clients.may_exit(),
             }
             true
         });
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -100,6 +100,18 @@
         self.signal("TERM");
     }
 
+    /// Stops it, and waits until all its threads stand still: a signal is on its way for a moment.
+    pub fn pause(&self) {
+        self.signal("STOP");
+        let stands = |task: std::io::Result<std::fs::DirEntry>| {
+            let stat = std::fs::read_to_string(task.unwrap().path().join("stat")).unwrap_or_default();
+            stat.rsplit(") ").next().is_none_or(|rest| rest.starts_with('T') || rest.is_empty())
+        };
+        until("it stands still", || {
+            std::fs::read_dir(format!("/proc/{}/task", self.0.id())).unwrap().all(stands)
+        });
+    }
+
     /// What it has logged.
     pub fn log(&self) -> String {
         self.1.lock().unwrap().clone()
@@ -365,6 +377,84 @@
     }
 }
 
+// ---- Queries, and how connections end ----
+
+/// A read that any member serves; the oid shows whose answer it is.
+pub fn read_of(id: u32, d: u32) -> String {
+    format!("/* id={id},c=read,t=acme,d={d},cluster=0 */ SELECT body FROM objects WHERE oid = 'x{id}'")
+}
+
+/// A write that must not be repeated.
+pub fn once_of(id: u32, d: u32) -> String {
+    format!(
+        "/* id={id},c=once,t=acme,d={d},cluster=0 */ INSERT INTO objects (oid, body) VALUES ('x{id}', '1') RETURNING body"
+    )
+}
+
+/// Reads one behind the other, as a client sends them that does not wait for answers.
+pub fn pipelined(ids: std::ops::Range<u32>, d: u32) -> Vec<u8> {
+    ids.flat_map(|id| message(b'Q', format!("{}\0", read_of(id, d)).as_bytes())).collect()
+}
+
+/// The oid of a query as the value.
+pub fn echo_of(query: &str) -> Vec<u8> {
+    let tag = if query.contains("INSERT") { "INSERT 0 1" } else { "SELECT 1" };
+    tagged(query.split('\'').nth(1).unwrap(), tag)
+}
+
+/// The number of a query.
+pub fn id_of(query: &str) -> u32 {
+    query.split("id=").nth(1).unwrap().split(',').next().unwrap().parse().unwrap()
+}
+
+/// The last word on a connection that is ended: nothing ran, and when to come back.
+pub fn is_farewell(answer: &Answer) -> bool {
+    matches!(answer, Answer::Error(code, Some(after)) if code == "53300" && after != "0")
+}
+
+/// How a client goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leaves {
+    /// It closes its connection, with nothing unread.
+    Closes,
+    /// It ends its sending, and still listens.
+    HalfCloses,
+    /// It closes over bytes that it has not read, which resets the connection.
+    Resets,
+}
+
+impl Client {
+    /// Goes; what is given back keeps a connection that is only half closed.
+    pub fn leave(mut self, how: Leaves) -> Option<Self> {
+        match how {
+            Leaves::Closes => None,
+            Leaves::HalfCloses => {
+                self.0.shutdown(std::net::Shutdown::Write).unwrap();
+                Some(self)
+            }
+            Leaves::Resets => {
+                // The answer to an empty query waits unread, or what came before it.
+                self.send("");
+                self.0.peek(&mut [0]).unwrap();
+                None
+            }
+        }
+    }
+
+    /// Nothing more comes but the end, and that is no reset.
+    pub fn ends_cleanly(&mut self) {
+        let end = self.0.read(&mut [0]);
+        assert!(matches!(end, Ok(0)), "{end:?} where the connection was to end");
+    }
+}
+
+impl Program {
+    /// Descriptors that it has open.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.0.id())).map_or(0, Iterator::count)
+    }
+}
+
 // ---- Discovery and the platform's configuration ----
 
 #[derive(Default)]
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -522,7 +522,11 @@
                 }
             }
             Effect::Answer { ticket, answer, .. } => self.answered(n, ticket, &answer)?,
-            Effect::CloseClient(_) | Effect::StopListening | Effect::Note(_) | Effect::Exit => {}
+            Effect::CloseClient(_)
+            | Effect::CloseClients
+            | Effect::StopListening
+            | Effect::Note(_)
+            | Effect::Exit => {}
             Effect::Pass { .. } => return Err("no answer is too long here".into()),
             Effect::Record(_) | Effect::Publish(_) => {}
         }
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -1,6 +1,7 @@
 //! Connections from clients: one thread accepts, some few wait for those that rest, and whoever of these gets one reads what has
 //! come. Answers are written by whoever has them; a client that does not take one at once gets a thread for that.
 
+mod line;
 mod outbox;
 mod rests;
 
@@ -9,44 +10,41 @@
 
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
 use rustix::event::{PollFd, PollFlags, Timespec, poll};
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::{Domain, Socket, Type};
 
 use valehatch_accounts::Refusal;
-use valehatch_places::{Doing, SETTLES, Verdict};
-use valehatch_policy::{GroupId, Span, Time};
+use valehatch_places::{SETTLES, Verdict};
+use valehatch_policy::{GroupId, Span};
 
 use super::{lock, spawn};
 use crate::Clock;
 use crate::pipe::Budget;
 use crate::places::Places;
+use line::{AT_ONCE, Gate, LINGER_BYTES, Line, Patient, Waits};
 use outbox::Outbox;
 use rests::{Resting, Rests};
 use valehatch_core::{Answer, Ask, ClientId, Event, Room};
 
 /// How long a write to a client may stand still before the client counts as gone: some take seconds to read.
 const STUCK: Duration = Duration::from_secs(10);
-/// A connection that has asked nothing is closed after this long.
-const IDLE: Span = Span::from_millis(2_000);
-/// A message that has begun must be whole by then: some take 2 s to write one.
-const HALF: Span = Span::from_millis(3_000);
 /// One that came back to ask again may stay for so long while nobody needs its place: clients that open a new one for lack of it cost
 /// more, and while gateways restart in turn it may be all that they have.
 const KEPT: Span = Span::from_millis(10_000);
-/// When whoever asked on a connection as it was ended should come back: it had only been silent.
-const AT_ONCE: Span = Span::from_millis(1);
-/// How long, and for how many bytes, a client is listened to after the last word to it.
-const LAST_WORD: Span = Span::from_millis(300);
-const DRAINED: usize = 1024 * 1024;
 /// How often a thread that accepts looks whether it is still to.
 const ACCEPTS: Timespec = Timespec { tv_sec: 0, tv_nsec: 50_000_000 };
+/// Once no more is to be taken, connections are still served for as long as they come, up to this: one that comes up as the
+/// listener is given back is reset. Not for longer, since another process may wait for them at the same address.
+const STILL_COME: Duration = Duration::from_millis(500);
+/// How long the program's end waits for what is still on its way from clients and to them.
+const EXITS: Duration = Duration::from_millis(50);
 /// How often a reading thread that waits looks at the time.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -96,255 +94,30 @@
     End,
 }
 
-/// What a connection is doing, so that it is never ended under a request that has been read.
-struct Gate {
-    /// A message has begun to come in.
-    reading: bool,
-    /// One is whole, and is about to be taken or refused.
-    whole: bool,
-    /// What the client is owed.
-    open: usize,
-    /// How often the client has asked something; it writes in pieces.
-    asked: u32,
-    slow: bool,
-    /// What the places know of it.
-    told: Doing,
-    /// When the connection came up or was last used, and how long it may go on without an open request.
-    since: Time,
-    idle: Span,
-    /// Its reading thread waits until the client is owed less.
-    waits: bool,
-    /// The last word has been said, at a time; what still comes is taken in so that no reset tears that word away.
-    over: Option<Time>,
-    /// Nothing can be written to it any more.
-    ended: bool,
-}
-
-impl Gate {
-    const fn new(now: Time) -> Self {
-        Self {
-            reading: false,
-            whole: false,
-            open: 0,
-            asked: 0,
-            slow: false,
-            told: Doing::Unasked,
-            since: now,
-            idle: IDLE,
-            waits: false,
-            over: None,
-            ended: false,
-        }
-    }
-
-    const fn doing(&self) -> Doing {
-        match self {
-            Self { over: Some(_), .. } | Self { ended: true, .. } => Doing::Parting,
-            Self { open: 1.., .. } | Self { whole: true, .. } => Doing::Open,
-            Self { reading: true, .. } => Doing::Half,
-            Self { asked: 1, .. } => Doing::Once,
-            Self { asked: 2.., .. } => Doing::Kept,
-            // What a slow client writes next is on its way.
-            Self { slow: true, .. } => Doing::Half,
-            _ => Doing::Unasked,
-        }
-    }
-}
-
-/// A connection; it has its place until its descriptor is given back.
-struct Line {
-    id: ClientId,
-    stream: TcpStream,
-    gate: Mutex<Gate>,
-    eased: Condvar,
-    outbox: Outbox,
-    front: Arc<dyn Serves>,
-    clock: Clock,
-    places: Arc<Places>,
-}
-
-impl Line {
-    /// Ends the connection if nothing is open on it, nothing has come in, and `when` holds. What the client writes before
-    /// it can know of that is answered by the last word; so only writing is ended here. Reading goes on, since bytes
-    /// that nobody takes make a reset of the end.
-    fn end_if(&self, after: Span, when: impl Fn(&Gate) -> bool) -> bool {
-        let mut gate = lock(&self.gate);
-        let rests = !gate.reading && gate.open == 0 && gate.over.is_none();
-        // Under the same lock as its reading thread takes things in: none is between the machine's buffer and `reading`.
-        if !rests || !when(&gate) || self.has_come() {
-            return false;
-        }
-        self.part(&mut gate, after);
-        true
-    }
-
-    /// Ends the connection so that others find room, if it still does what it was chosen for; else the places hear of it.
-    fn make_way(&self, chosen: Doing) {
-        let mut gate = lock(&self.gate);
-        let (now, come) = (self.clock.now(), self.has_come());
-        let settled = chosen == Doing::Unasked || gate.since + SETTLES <= now;
-        if gate.doing() == chosen && settled && !come {
-            return self.part(&mut gate, AT_ONCE);
-        }
-        gate.told = if come { Doing::Half } else { gate.doing() };
-        self.places.turn(self.id.0, gate.told, now);
-    }
-
-    /// Tells the places what the connection does now, under the gate's lock so that they hear it in order.
-    fn tell(&self, gate: &mut Gate) {
-        let doing = gate.doing();
-        if doing != gate.told {
-            gate.told = doing;
-            self.places.turn(self.id.0, doing, gate.since);
-        }
-    }
-
-    /// Whether bytes or the client's end wait to be read.
-    fn has_come(&self) -> bool {
-        let mut one = [std::mem::MaybeUninit::uninit()];
-        let look = libc::MSG_PEEK | libc::MSG_DONTWAIT;
-        SockRef::from(&self.stream).recv_with_flags(&mut one, look).is_ok()
-    }
-
-    /// Since when its last word is said.
-    fn over(&self) -> Option<Time> {
-        lock(&self.gate).over
-    }
-
-    /// Takes in what has come behind the last word, so that no reset tears that word away; says whether that was the end.
-    fn swallow(&self, left: &mut usize) -> Next {
-        let mut some = [std::mem::MaybeUninit::uninit(); 16 * 1024];
-        let socket = SockRef::from(&self.stream);
-        while *left > 0 {
-            match socket.recv_with_flags(&mut some, libc::MSG_DONTWAIT) {
-                Ok(n @ 1..) => *left = left.saturating_sub(n),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Next::Nothing,
-                _ => return Next::End,
-            }
-        }
-        Next::End
-    }
-
-    /// Says the last word. The client takes it at once, or is long gone: nothing else waits to be written.
-    fn part(&self, gate: &mut Gate, after: Span) {
-        gate.over = Some(self.clock.now());
-        self.tell(gate);
-        let word = self.front.farewell(after);
-        let _ = SockRef::from(&self.stream).send_with_flags(&word, libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL);
-        let _ = self.stream.shutdown(Shutdown::Write);
-    }
-
-    /// Notes that something has begun or ended on the connection.
-    fn note(&self, what: impl Fn(&mut Gate)) {
-        let mut gate = lock(&self.gate);
-        what(&mut gate);
-        gate.since = self.clock.now();
-        self.tell(&mut gate);
-        let waits = gate.waits;
-        drop(gate);
-        // Each call costs the machine's time, whether anybody waits or not.
-        if waits {
-            self.eased.notify_all();
-        }
-    }
-
-    /// Takes a place for something that the client is owed; waits while it is owed too much.
-    fn owe(&self) -> io::Result<()> {
-        let most = self.front.pipeline();
-        let full = |g: &mut Gate| {
-            g.waits = g.open >= most && !g.ended && g.over.is_none();
-            g.waits
-        };
-        let gate = self.eased.wait_while(lock(&self.gate), full);
-        let mut gate = gate.unwrap_or_else(PoisonError::into_inner);
-        // What came in as it was ended has had the last word for its answer: it does not run.
-        if gate.ended || gate.over.is_some() {
-            return Err(ErrorKind::BrokenPipe.into());
-        }
-        gate.open += 1;
-        self.tell(&mut gate);
-        Ok(())
-    }
-}
-
-impl Drop for Line {
-    fn drop(&mut self) {
-        self.places.leave(self.id.0);
-    }
-}
-
-/// Reads from a client, with patience for as long as the connection may stand idle.
-struct Patient(Arc<Line>);
-
-impl Read for Patient {
-    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
-        let line = &self.0;
-        loop {
-            // Waits without taking anything: what is taken is noted under the same lock under which connections end.
-            let waited = line.stream.peek(&mut [0]);
-            let now = line.clock.now();
-            let mut gate = lock(&line.gate);
-            // What was peeked at is there: reading it does not wait.
-            let got = waited.and_then(|_| (&line.stream).read(into));
-            if let Some(since) = gate.over {
-                if since + LAST_WORD < now || matches!(got, Ok(0)) {
-                    return Ok(0);
-                }
-                continue;
-            }
-            // Half a message that comes to no end is ended as silence is, however it drips in; what was asked before it
-            // is answered first, and each answer begins that time anew.
-            if gate.reading && gate.open == 0 && gate.since + HALF < now {
-                line.part(&mut gate, AT_ONCE);
-                continue;
-            }
-            // A process that was stopped for a while comes back from a timed read interrupted.
-            let pauses = [ErrorKind::WouldBlock, ErrorKind::TimedOut, ErrorKind::Interrupted];
-            match got {
-                Err(e) if pauses.contains(&e.kind()) => {}
-                Ok(n @ 1..) if !gate.reading => {
-                    (gate.reading, gate.since) = (true, now);
-                    line.tell(&mut gate);
-                    return Ok(n);
-                }
-                other => {
-                    gate.slow |= gate.asked == 0;
-                    return other;
-                }
-            }
-        }
-    }
-}
-
 /// What a client sends.
 pub struct Incoming {
     from: BufReader<Patient>,
-    /// Bytes that are still taken in behind the last word.
-    left: usize,
 }
 
 impl Incoming {
     fn new(line: Arc<Line>) -> Self {
-        Self { from: BufReader::with_capacity(4096, Patient(line)), left: DRAINED }
+        Self { from: BufReader::with_capacity(4096, Patient::new(line)) }
     }
 
-    fn line(&self) -> &Line {
-        &self.from.get_ref().0
+    fn line(&self) -> &Arc<Line> {
+        &self.from.get_ref().line
     }
 
-    /// What comes next; takes nothing, and waits for nothing.
+    /// What comes next; takes nothing, and waits for nothing. What a client had sent before it left still comes, and does not
+    /// run.
     pub fn begins(&mut self) -> io::Result<Next> {
-        if self.from.buffer().is_empty() {
-            if self.line().over().is_some() {
-                let mut left = self.left;
-                let next = self.line().swallow(&mut left);
-                self.left = left;
-                return Ok(next);
-            }
-            if !self.line().has_come() {
-                return Ok(Next::Nothing);
-            }
+        if self.line().over().is_some() {
+            return Ok(self.swallow());
+        }
+        match self.line().waits() {
+            Waits::End => lock(&self.line().gate).left = true,
+            Waits::Nothing if self.from.buffer().is_empty() => return Ok(Next::Nothing),
+            Waits::Nothing | Waits::Bytes => {}
         }
         let some = !self.from.fill_buf()?.is_empty();
         Ok(if some && !lock(&self.line().gate).ended { Next::Message } else { Next::End })
@@ -356,25 +129,23 @@
         self.line().note(|g| (g.reading, g.whole) = (more, false));
     }
 
-    /// Says the last word once all that is owed has been said. What the client still sends behind it is taken in for a
-    /// moment: a reset would tear that word away.
-    pub fn finish(&mut self, session: &Session, word: Vec<u8>) -> Talk {
-        let line = &session.line;
-        let owed = |g: &mut Gate| {
-            g.waits = g.open > 0 && !g.ended;
-            g.waits
-        };
-        drop(line.eased.wait_while(lock(&line.gate), owed));
-        if session.say(word).is_err() {
-            return Talk::Over;
+    /// Ends the connection from this side: the last word is said once all that is owed has been, and what the client still
+    /// sends is taken in for a moment, since a reset would tear that word away. Over at once where the client has left.
+    pub fn finish(&mut self, word: Vec<u8>) -> Talk {
+        let line = Arc::clone(self.line());
+        // Where nothing can be said any more, only the end is left to be taken in.
+        if line.over().is_none()
+            && line.waits() != Waits::End
+            && let Ok(gate) = line.owed_less(1)
+        {
+            line.part(gate, word);
         }
-        let mut gate = lock(&line.gate);
-        gate.over = Some(line.clock.now());
-        line.tell(&mut gate);
-        drop(gate);
-        line.complete(Shutdown::Write);
+        if self.swallow() == Next::Nothing { Talk::Rests } else { Talk::Over }
+    }
+
+    fn swallow(&mut self) -> Next {
         self.from.consume(self.from.buffer().len());
-        Talk::Rests
+        self.from.get_mut().swallow()
     }
 
     /// Writes at once, past the queue: only before anything else was said.
@@ -418,9 +189,16 @@
         self.id.0
     }
 
-    /// Hands a request to the core.
+    /// Hands a request to the core, if its client is still there.
     pub fn ask(&self, ticket: u64, ask: Ask) -> io::Result<()> {
-        self.line.owe()?;
+        let left = lock(&self.line.gate).left;
+        match if left { Err(ErrorKind::ConnectionAborted.into()) } else { self.line.owe() } {
+            Err(e) if e.kind() == ErrorKind::ConnectionAborted => {
+                self.call_off(&ask);
+                return Ok(());
+            }
+            other => other?,
+        }
         let mut gate = lock(&self.line.gate);
         gate.asked = gate.asked.saturating_add(1);
         // One that has asked once stays for as long as one that has not. Where the front has its clients stay for longer, that holds.
@@ -432,6 +210,16 @@
         self.events.send(event).map_err(|_| io::ErrorKind::BrokenPipe.into())
     }
 
+    /// The client has left: what else is open of it is called off now, and this does not begin.
+    fn call_off(&self, ask: &Ask) {
+        let told = std::mem::replace(&mut lock(&self.line.gate).called_off, true);
+        let gone = (!told).then_some(Event::Disconnected(self.id));
+        let (class, tenant, group) = (ask.class, ask.tenant, ask.group);
+        let counted = self.all.watched.then_some(Event::Abandoned { class, tenant, group });
+        // A core that has ended counts nothing any more.
+        gone.into_iter().chain(counted).for_each(|event| drop(self.events.send(event)));
+    }
+
     /// Says of a request that this front refused it itself.
     pub fn declined(&self, class: usize, tenant: Option<usize>, group: GroupId, why: Refusal) {
         if self.all.watched {
@@ -441,7 +229,11 @@
 
     /// Answers without the core.
     pub fn reply(&self, ticket: u64, bytes: Vec<u8>) -> io::Result<()> {
-        self.line.owe()?;
+        match self.line.owe() {
+            // It has left while it was owed too much.
+            Err(e) if e.kind() == ErrorKind::ConnectionAborted => return Ok(()),
+            other => other?,
+        }
         self.line.put(Some(ticket), bytes);
         Ok(())
     }
@@ -474,6 +266,10 @@
     stopped: AtomicBool,
     /// What waits to be taken is another process's.
     left: AtomicBool,
+    /// A thread accepts.
+    accepts: AtomicBool,
+    /// Since when the program is to end.
+    exits: Mutex<Option<Instant>>,
 }
 
 /// What all clients together may take up.
@@ -510,7 +306,8 @@
         limits: Limits,
     ) -> io::Result<Arc<Self>> {
         let (lines, bytes, most) = (Mutex::default(), Arc::default(), limits.bytes.into());
-        let (watched, stopped, left) = (limits.watched, AtomicBool::new(false), AtomicBool::new(false));
+        let [stopped, left, accepts] = [false; 3].map(AtomicBool::new);
+        let watched = limits.watched;
         let passed = Arc::new(Budget::new(limits.bytes));
         let rests = Rests::new(clock.now())?;
         Ok(Arc::new(Self {
@@ -526,6 +323,8 @@
             watched,
             stopped,
             left,
+            accepts,
+            exits: Mutex::default(),
         }))
     }
 
@@ -535,14 +334,28 @@
         listener.set_nonblocking(true)?;
         self.attend()?;
         let all = Arc::clone(self);
-        spawn("accept", move || all.accept(&listener, bound))?;
+        self.accepts.store(true, Ordering::Relaxed);
+        spawn("accept", move || {
+            all.accept(&listener, bound);
+            drop(listener);
+            all.accepts.store(false, Ordering::Relaxed);
+        })?;
         Ok(bound)
     }
 
     fn accept(self: &Arc<Self>, listener: &TcpListener, bound: SocketAddr) {
-        let mut next = 0;
+        let (mut next, mut stopped) = (0, None::<Instant>);
         loop {
             self.wait_for_room();
+            // Read before it is asked for the next: what the machine has accepted for this listener by then counts as taken,
+            // and is not left to a reset.
+            if self.stopped.load(Ordering::Relaxed) {
+                stopped.get_or_insert_with(Instant::now);
+                if self.left.load(Ordering::Relaxed) {
+                    return;
+                }
+            }
+            let last = stopped.is_some_and(|since| since.elapsed() > STILL_COME);
             match listener.accept() {
                 Ok((stream, _)) => {
                     next += 1;
@@ -550,26 +363,22 @@
                         tracing::warn!("a connection from a client could not be served: {e}");
                     }
                 }
-                // Another process may listen on the same socket, so nobody waits in `accept` itself.
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
-                    let _ = poll(&mut [PollFd::new(&listener, PollFlags::IN)], Some(&ACCEPTS));
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    // Another process may listen on the same socket, so nobody waits in `accept` itself.
+                    let come = poll(&mut [PollFd::new(&listener, PollFlags::IN)], Some(&ACCEPTS));
+                    if last || stopped.is_some() && come == Ok(0) {
+                        return;
+                    }
                 }
                 Err(e) => {
                     tracing::warn!("accept on {bound}: {e}");
+                    if last {
+                        return;
+                    }
                     sleep(Duration::from_millis(5));
                 }
             }
-            if self.stopped.load(Ordering::Relaxed) {
-                break;
-            }
-        }
-        // What the machine has accepted for this listener counts as taken: it is not left to a reset.
-        while !self.left.load(Ordering::Relaxed)
-            && let Ok((stream, _)) = listener.accept()
-        {
-            next += 1;
-            let _ = self.begin(ClientId(next), stream);
-            self.wait_for_room();
         }
     }
 
@@ -615,10 +424,10 @@
         Ok(())
     }
 
-    /// A connection is over, or nothing more is to come of it.
+    /// A connection is over: the client has left, or has been listened to for long enough.
     fn finish(&self, resting: &Resting) {
         self.end(resting.session.id);
-        resting.session.line.complete(Shutdown::Both);
+        resting.session.line.break_off();
     }
 
     fn end(&self, id: ClientId) {
@@ -635,7 +444,8 @@
 
     /// The way to a client for an answer that is passed on as it comes; `None` if the client has left.
     pub fn passage(&self, client: ClientId, ticket: u64) -> Option<Passage> {
-        lock(&self.lines).get(&client).map(|line| Passage::new(Arc::clone(line), ticket))
+        let line = lock(&self.lines).get(&client).cloned()?;
+        Some(Passage::new(line, ticket, self.events.clone()))
     }
 
     /// Ends a connection if nothing is open on it and it has rested for a moment: a last word right behind an answer
@@ -646,6 +456,33 @@
         line.end_if(AT_ONCE, |g| g.since < settled);
     }
 
+    /// Ends all connections on which nothing is open, however short a time ago they were answered: the program is about to
+    /// end.
+    pub fn close_all(&self) {
+        self.all().iter().for_each(Line::end_unless_open);
+    }
+
+    /// Whether the program may end: what has come is answered or told that it did not run, and all that was said has left.
+    /// Not for long: whoever waits is asked again. What comes meanwhile is taken in, since bytes that nobody takes make a
+    /// reset of the end.
+    pub fn may_exit(&self) -> bool {
+        let asked = *lock(&self.exits).get_or_insert_with(Instant::now);
+        self.close_all();
+        let lines = self.all();
+        let busy = self.accepts.load(Ordering::Relaxed) || lines.iter().any(|l| l.is_busy());
+        if busy && asked.elapsed() < EXITS {
+            return false;
+        }
+        for line in lines.iter().filter(|l| l.over().is_some()) {
+            line.swallow(&mut { LINGER_BYTES });
+        }
+        true
+    }
+
+    fn all(&self) -> Vec<Arc<Line>> {
+        lock(&self.lines).values().cloned().collect()
+    }
+
     /// Takes no more connections, but those that wait; these are left to another process where it takes them.
     pub fn stop(&self, left: bool) {
         self.left.fetch_or(left, Ordering::Relaxed);
@@ -660,148 +497,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    struct Mute;
-
-    impl Serves for Mute {
-        fn serve(&self, _: &mut Progress, _: &mut Incoming, _: &Session) -> io::Result<Talk> {
-            Ok(Talk::Over)
-        }
-        fn encode(&self, _: u64, _: Answer) -> Vec<u8> {
-            vec![]
-        }
-        fn ordered(&self) -> bool {
-            false
-        }
-        fn pipeline(&self) -> usize {
-            16
-        }
-        fn farewell(&self, after: Span) -> Vec<u8> {
-            (after.0 / 1000).to_string().into_bytes()
-        }
-    }
-
-    const PLACES: valehatch_places::Limits =
-        valehatch_places::Limits { most: 0, extra: 0, members: 0, asking: usize::MAX, settles: SETTLES };
-
-    /// A connection as its reading thread has it, and the client's end of it.
-    fn connection() -> (Arc<Line>, Incoming, TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        client.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        let stream = listener.accept().unwrap().0;
-        stream.set_read_timeout(Some(LOOK)).unwrap();
-        let clock = Clock::start();
-        let places = Places::new(clock, PLACES);
-        places.enter(1, clock.now());
-        let line = Arc::new(Line {
-            id: ClientId(1),
-            stream,
-            gate: Mutex::new(Gate { asked: 1, ..Gate::new(clock.now()) }),
-            eased: Condvar::new(),
-            outbox: Outbox::new(Arc::new(Budget::new(1024))),
-            front: Arc::new(Mute),
-            clock,
-            places,
-        });
-        let incoming = Incoming::new(Arc::clone(&line));
-        (line, incoming, client)
-    }
-
-    /// It was answered only now, however long this thread was kept from going on.
-    fn only_now(line: &Line) {
-        lock(&line.gate).since = line.clock.now() + Span::from_millis(60_000);
-    }
-
-    #[test]
-    fn no_last_word_follows_an_answer_at_once() {
-        let (events, _inbox) = crossbeam_channel::bounded(8);
-        let limits = Limits { bytes: 1024, watched: false };
-        let (line, _, mut client) = connection();
-        let clients =
-            Clients::new(Arc::new(Mute), events, line.clock, Arc::clone(&line.places), limits).unwrap();
-        lock(&clients.lines).insert(ClientId(1), Arc::clone(&line));
-        line.owe().unwrap();
-        line.put(None, b"answer;".to_vec());
-        only_now(&line);
-        clients.close(ClientId(1));
-        assert!(lock(&line.gate).over.is_none(), "it would pass for a second answer");
-        lock(&line.gate).since = line.clock.now() - SETTLES - Span::from_millis(1);
-        clients.close(ClientId(1));
-        let mut all = String::new();
-        client.read_to_string(&mut all).unwrap();
-        assert_eq!(all, "answer;1");
-    }
-
-    #[test]
-    fn what_has_come_in_keeps_its_connection_from_being_ended_message_by_message() {
-        let (line, mut incoming, mut client) = connection();
-        client.write_all(b"askask").unwrap();
-        while !line.has_come() {
-            std::thread::yield_now();
-        }
-        assert!(!line.end_if(AT_ONCE, |g| !g.ended), "it lies in the machine's buffer");
-        // The reading thread has taken both in, and has dealt with the first.
-        assert_eq!(incoming.begins().unwrap(), Next::Message);
-        assert!(!line.end_if(AT_ONCE, |g| !g.ended));
-        incoming.read_exact(&mut [0; 3]).unwrap();
-        incoming.ends();
-        assert!(!line.end_if(AT_ONCE, |g| !g.ended), "the second came along with it");
-        assert_eq!(incoming.begins().unwrap(), Next::Message);
-        incoming.read_exact(&mut [0; 3]).unwrap();
-        incoming.ends();
-        assert!(line.end_if(AT_ONCE, |g| !g.ended));
-        assert!(!line.end_if(AT_ONCE, |_| true), "once");
-    }
-
-    #[test]
-    fn what_is_written_as_a_connection_ends_is_answered_by_the_last_word_and_no_reset() {
-        let (line, mut incoming, mut client) = connection();
-        assert!(line.end_if(AT_ONCE, |g| !g.ended));
-        // The client does not know yet.
-        client.write_all(b"ask").unwrap();
-        let reader = std::thread::spawn(move || {
-            loop {
-                match incoming.begins().unwrap() {
-                    Next::Nothing => std::thread::yield_now(),
-                    other => return other,
-                }
-            }
-        });
-        let mut all = vec![];
-        client.read_to_end(&mut all).unwrap();
-        assert_eq!(all, b"1", "the time to come back, in this front's words");
-        client.write_all(b"more").unwrap();
-        drop(client);
-        assert_eq!(reader.join().unwrap(), Next::End, "it is over");
-    }
-
-    #[test]
-    fn one_that_was_chosen_to_make_way_is_ended_only_if_it_still_idles() {
-        let (line, mut incoming, mut client) = connection();
-        let settled = || lock(&line.gate).since = line.clock.now() - SETTLES - Span::from_millis(1);
-        let over = || lock(&line.gate).over.is_some();
-        only_now(&line);
-        line.make_way(Doing::Once);
-        assert!(!over(), "it was answered only now");
-        settled();
-        client.write_all(b"ask").unwrap();
-        while !line.has_come() {
-            std::thread::yield_now();
-        }
-        line.make_way(Doing::Once);
-        assert!(!over(), "a request has come in");
-        assert_eq!(incoming.begins().unwrap(), Next::Message);
-        incoming.read_exact(&mut [0; 3]).unwrap();
-        settled();
-        line.make_way(Doing::Once);
-        assert!(!over(), "it is being read");
-        incoming.ends();
-        settled();
-        line.make_way(Doing::Once);
-        assert!(over());
-        assert!(line.owe().is_err(), "what came in as it was ended does not run: it has its answer");
-    }
-}
+mod tests;
--- a/crates/net/src/clients/outbox.rs
+++ b/crates/net/src/clients/outbox.rs
@@ -6,9 +6,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 
+use crossbeam_channel::Sender;
 use socket2::SockRef;
+use valehatch_core::Event;
 
-use super::Line;
+use super::line::Line;
 use crate::pipe::{Budget, Piece};
 use crate::{lock, spawn};
 
@@ -145,11 +147,17 @@
     /// The thread that was at it is done.
     fn wrote(&self, mut state: MutexGuard<'_, State>) {
         state.writing = false;
-        if state.complete {
-            let _ = self.stream.shutdown(Shutdown::Both);
+        let complete = state.complete;
+        if complete {
+            let _ = self.stream.shutdown(Shutdown::Write);
         }
         drop(state);
         self.outbox.moved.notify_all();
+        if complete {
+            // The client is listened to from now on, not from when the last word had to wait.
+            let now = self.clock.now();
+            lock(&self.gate).over.iter_mut().for_each(|since| *since = now);
+        }
     }
 
     /// Writes some of a long answer, in its turn; waits for as long as the client is slow to take it. Nothing of it is
@@ -193,16 +201,22 @@
         self.outbox.moved.notify_all();
     }
 
-    /// Nothing more will be said: the connection ends, in one way or both, once all is written.
-    pub(super) fn complete(&self, how: Shutdown) {
+    /// Nothing more will be said: sending ends once all is written.
+    pub(super) fn complete(&self) {
         let mut state = lock(&self.outbox.state);
         state.complete = true;
         if !state.writing {
-            let _ = self.stream.shutdown(how);
+            let _ = self.stream.shutdown(Shutdown::Write);
         }
         drop(state);
         self.outbox.moved.notify_all();
     }
+
+    /// Whether a thread is at it: something is on its way to a client that is slow to take things.
+    pub(super) fn writes(&self) -> bool {
+        let writing = lock(&self.outbox.state).writing;
+        writing && !lock(&self.gate).ended
+    }
 }
 
 /// The way of one long answer to its client. What has begun is finished, or the connection is ended in the middle of it,
@@ -212,12 +226,13 @@
     ticket: u64,
     piece: Piece,
     whole: AtomicBool,
+    events: Sender<Event>,
 }
 
 impl Passage {
-    pub(super) fn new(line: Arc<Line>, ticket: u64) -> Self {
+    pub(super) fn new(line: Arc<Line>, ticket: u64, events: Sender<Event>) -> Self {
         let piece = line.outbox.budget.piece();
-        Self { line, ticket, piece, whole: AtomicBool::new(false) }
+        Self { line, ticket, piece, whole: AtomicBool::new(false), events }
     }
 
     /// How much may be taken up of the answer at once.
@@ -257,7 +272,10 @@
 impl Drop for Passage {
     fn drop(&mut self) {
         if !*self.whole.get_mut() {
-            self.line.complete(Shutdown::Both);
+            self.line.cut_short();
+            // What was asked behind it can have no answer: it need not be sent on. May be the core's own thread, which must not
+            // wait for itself.
+            let _ = self.events.try_send(Event::Disconnected(self.line.id));
         }
     }
 }
--- a/crates/net/src/clients/rests.rs
+++ b/crates/net/src/clients/rests.rs
@@ -13,7 +13,8 @@
 use valehatch_core::ClientId;
 use valehatch_policy::Time;
 
-use super::{AT_ONCE, Clients, Incoming, LAST_WORD, Line, Progress, Session, Talk};
+use super::line::{AT_ONCE, Line};
+use super::{Clients, Incoming, Progress, Session, Talk};
 use crate::{lock, spawn};
 
 /// How often those that have rested for too long are looked for.
@@ -103,9 +104,11 @@
 
     /// Deals with what has come on a connection.
     fn go_on(&self, mut resting: Resting) {
-        match self.front.serve(&mut resting.at, &mut resting.from, &resting.session) {
-            Ok(Talk::Rests) => self.rest(resting),
-            _ => self.finish(&resting),
+        let talk = self.front.serve(&mut resting.at, &mut resting.from, &resting.session);
+        if matches!(talk, Ok(Talk::Rests)) || resting.from.finish(vec![]) == Talk::Rests {
+            self.rest(resting);
+        } else {
+            self.finish(&resting);
         }
     }
 
@@ -137,10 +140,9 @@
         *looked = now;
         drop(looked);
         self.make_room();
-        let lines: Vec<Arc<Line>> = lock(&self.lines).values().cloned().collect();
-        for line in lines {
+        for line in self.all() {
             line.end_if(AT_ONCE, |g| g.since + g.idle < now);
-            if line.over().is_some_and(|since| since + LAST_WORD < now) {
+            if line.has_lingered(now) {
                 self.drop_one(line.id);
             }
         }
--- a/crates/pg/src/clients.rs
+++ b/crates/pg/src/clients.rs
@@ -233,7 +233,7 @@
                     "a client is turned away: {}",
                     pg::field(&word[5..], b'M').unwrap_or_default()
                 );
-                from.finish(session, word)
+                from.finish(word)
             }
         })
     }
