--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,6 +29,11 @@
 const LEAVES: Span = Span::from_millis(100);
 /// What is still open so long before the end is given up.
 const LAST_WORD: Span = Span::from_millis(250);
+/// Where another process takes the connections, what comes in so long before that is refused: it would be cut off, and its
+/// client is served there. Answers that are on their way have so long to come.
+const LAST_ASKED: Span = Span::from_millis(250);
+/// When clients that are refused for that should come back.
+const AT_ONCE: Span = Span::from_millis(1);
 /// How often, from when no more is to be served, connections are looked over for those that have come to rest.
 const CLOSE_EACH: Span = Span::from_millis(25);
 /// So long before it the program ends, whatever clients still hold open: they have been told, and are not waited for.
@@ -57,6 +62,7 @@
     Door,
     Unlisten,
     Stop,
+    LastAsked,
     End,
     Exit,
 }
@@ -136,6 +142,8 @@
     door_due: bool,
     stopping: bool,
     stopped: bool,
+    /// Another process takes the connections.
+    left: bool,
     /// What is asked now is refused at once: the program is about to end.
     ended: bool,
     turns: u64,
@@ -172,6 +180,7 @@
             next_conn: 0,
             stopping: false,
             stopped: false,
+            left: false,
             ended: false,
             turns: 0,
             second: 0,
@@ -297,7 +306,10 @@
                 }
             }
             // The thread that accepts ends before anything is closed: what it took last is served too.
-            Event::Leave => self.due.extend([(now, Due::Unlisten), (now + LEAVES, Due::Stop)]),
+            Event::Leave => {
+                self.left = true;
+                self.due.extend([(now, Due::Unlisten), (now + LEAVES, Due::Stop)]);
+            }
             Event::ServerConns(most) => {
                 while self.conns.len() > most
                     && let Some((_, spare)) = self.idle.values().filter_map(BTreeSet::first).min().copied()
@@ -316,6 +328,7 @@
                 let all = [
                     (STILL_TAKEN, Due::Unlisten),
                     (served, Due::Stop),
+                    (end - LAST_WORD - LAST_ASKED, Due::LastAsked),
                     (end - LAST_WORD, Due::End),
                     (end - GONE, Due::Exit),
                 ];
@@ -372,7 +385,7 @@
             let (how, answer) = if taken {
                 (Ending::Failed(Fault::Named), Answer::Failed(Failure::Named))
             } else {
-                let after = self.facts.come_back(ask.class);
+                let after = if self.left { AT_ONCE } else { self.facts.come_back(ask.class) };
                 (Ending::Refused(why), Answer::Refused { after, crowded: false })
             };
             self.record_unheld(ask.class, ask.tenant, ask.group, how, effects);
@@ -662,6 +675,7 @@
                 }
                 self.due.insert((now + CLOSE_EACH, Due::Stop));
             }
+            Due::LastAsked => self.ended |= self.left,
             Due::Exit => {
                 effects.push(Effect::Exit);
                 self.due.insert((now + EXIT_EACH, Due::Exit));
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -73,13 +73,29 @@
     if valehatch_net::lock(&taker).held().0.members().next().is_some() {
         told.listed(0);
     }
-    // Discovery may move under way; all else is read at the start.
-    let reload = move || match load(&path) {
+    // Discovery may move under way; all else is read at the start. Where it is now.
+    let read = Arc::new(move |what: &str| match load(&path) {
         Ok(new) => {
-            info!("config: read again, discovery is at {}", new.discovery);
+            info!("config: {what}, discovery is at {}", new.discovery);
             place.set(new.discovery);
+            Some(new.discovery)
         }
-        Err(e) => warn!("{e}; what was read before goes on to hold"),
+        Err(e) => {
+            warn!("{e}; what was read before goes on to hold");
+            None
+        }
+    });
+    let reads = Arc::clone(&read);
+    let look: Arc<dyn Fn() + Send + Sync> = Arc::new(move || {
+        let _ = reads("looked at with the other process");
+    });
+    let (holds, other) = (Arc::clone(&taker), Arc::clone(&both));
+    let reload = move || {
+        let (Some(at), Some(upgrade)) = (read("read again"), other.get()) else { return };
+        // The other process is told at once, by what is held under the new address: this one may end before that answers.
+        let mut book = valehatch_net::lock(&holds).held().0.clone();
+        book.told = Some((at, 0));
+        upgrade.pass(book.encode());
     };
     let (events, terminate, board) =
         (inbox.0.clone(), inbox.0.clone(), Arc::<ArcSwapOption<Board>>::default());
@@ -116,13 +132,33 @@
     };
     let front = Front::listen(parts)?;
     let clients = front.clients();
-    let kept = Kept { name: FRONT.to_owned(), taker: Some(taker), board, settings };
+    let kept = Kept { name: FRONT.to_owned(), taker: Some(Arc::clone(&taker)), board, settings };
     let whole = Room { descriptors: sockets, bytes: memory_mb * 1024 * 1024 };
-    let shares = Shares { gateway: name, whole, routers, events, clients, places, kept, clock };
+    let second = begin.is_second();
+    let shares = Shares {
+        gateway: name,
+        whole,
+        routers,
+        events,
+        clients,
+        places,
+        kept,
+        clock,
+        look: Arc::clone(&look),
+    };
     let stops = begin.serves(meets, shares);
-    stops.clone().into_iter().for_each(|upgrade| drop(both.set(upgrade)));
+    if let Some(upgrade) = stops.clone() {
+        let _ = both.set(upgrade.clone());
+        // What discovery told this one before there was a line to pass it on: the other one may hear it seconds later.
+        let book = valehatch_net::lock(&taker).held().0.encode();
+        upgrade.pass(book);
+    }
     // Only now: whoever was told yes may start the next process at once, and that has to find this one.
     told.listens();
+    // The one before may have been told to read the configuration again since this one read it.
+    if second {
+        look();
+    }
     let ending = Arc::clone(&told);
     let leaves = move || {
         ending.stops();
--- a/crates/gateway/src/upgrade.rs
+++ b/crates/gateway/src/upgrade.rs
@@ -78,6 +78,8 @@
     pub places: Arc<Places>,
     pub kept: Kept,
     pub clock: Clock,
+    /// Looks at the configuration again, for where discovery is now.
+    pub look: Arc<dyn Fn() + Send + Sync>,
 }
 
 impl Hands for Shares {
@@ -111,8 +113,16 @@
     }
 
     fn hear(&self, list: &[u8]) {
-        if let (Some(taker), Some(book)) = (&self.kept.taker, Book::decode(list)) {
-            valehatch_net::lock(taker).hear(&book);
+        let (Some(taker), Some(book)) = (&self.kept.taker, Book::decode(list)) else { return };
+        let mut taker = valehatch_net::lock(taker);
+        taker.hear(&book);
+        let held = taker.held().0.told;
+        drop(taker);
+        // Discovery has moved for the other process, which was told to read the configuration again; that was told the
+        // gateway, so this one looks too. What the new address tells is not taken from here: this one asks there itself.
+        let at = |told: Option<(SocketAddr, u64)>| told.map(|(at, _)| at);
+        if at(book.told) != at(held) {
+            (self.look)();
         }
     }
 
@@ -128,6 +138,11 @@
         self.listener.try_clone()
     }
 
+    /// There is a process before this one, which serves as well.
+    pub const fn is_second(&self) -> bool {
+        self.old.is_some()
+    }
+
     /// This process serves: it says so to the one before it, and can be asked by the next.
     pub fn serves(self, path: Option<PathBuf>, shares: Shares) -> Option<Stops> {
         let path = path?;
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -468,6 +468,8 @@
     /// When each answer with news was written.
     pub told: Mutex<Vec<Instant>>,
     pub watches: AtomicUsize,
+    /// Connections on which something was asked.
+    pub asked: AtomicUsize,
 }
 
 pub fn target(uid: &str, address: SocketAddr, mode: &str, state: &str) -> String {
@@ -494,6 +496,9 @@
                     }
                     head.push(byte[0]);
                 }
+                if answered.is_none() {
+                    shared.asked.fetch_add(1, Ordering::SeqCst);
+                }
                 if let Some(at) = answered {
                     shared.gaps.lock().unwrap().push(at.elapsed());
                 }
--- a/crates/gateway/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
@@ -598,6 +598,158 @@
     assert_eq!(sent, 0, "sent to a member that was told to leave");
 }
 
+impl Scene {
+    /// Discovery moves: the configuration says so, to whoever reads it from now on.
+    fn moves(&self) -> Arc<Discovery> {
+        let (moved, discovery) = Discovery::start(self.place.known.clone());
+        let config = std::fs::read_to_string(&self.place.config).unwrap();
+        let config = config.replace(&self.place.discovery_at.to_string(), &moved.to_string());
+        std::fs::write(&self.place.config, config).unwrap();
+        discovery
+    }
+
+    /// The replica begins to drain, and only this discovery says so: somebody hears it, and when.
+    fn drains(&self, discovery: &Discovery) -> Instant {
+        let leaving = target("s-00000002", self.drained.0, "read-only", "leaving");
+        discovery.changes.lock().unwrap().push(leaving);
+        until("it is told", || !discovery.told.lock().unwrap().is_empty());
+        discovery.told.lock().unwrap()[0]
+    }
+
+    /// Nothing more is sent to the replica once its grace is over, though requests are served all along.
+    fn sends_nothing_after(&self, told: Instant) {
+        let late = told + Duration::from_millis(500);
+        until("the grace is over", || Instant::now() > late);
+        self.serves();
+        let sent = self.drained.1.queries.lock().unwrap().iter().filter(|q| q.0 > late).count();
+        assert_eq!(sent, 0, "sent to a member that was told to leave");
+    }
+}
+
+/// Who is told to read the configuration again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Told {
+    Old,
+    New,
+}
+
+#[rstest]
+fn a_configuration_read_again_by_one_process_binds_the_other(#[values(Told::Old, Told::New)] who: Told) {
+    let mut scene = Scene::begin();
+    let new = scene.place.start();
+    scene.serves();
+    let discovery = scene.moves();
+    let told = if who == Told::Old { &scene.old } else { &new };
+    told.program.signal("HUP");
+    told.program.says("config: read again");
+    if who == Told::Old {
+        // It looks once as it begins, and once more now. Then the one that was told ends: the change is the other's to hear.
+        until("the other one looks too", || new.program.log().matches("looked at with").count() > 1);
+        scene.releases();
+        scene.old.stops();
+        new.is_alone();
+    } else {
+        // The second connection there is the old one's; nobody else is told of the change.
+        until("both ask at the new address", || discovery.asked.load(SeqCst) > 1);
+        discovery.only.store(2, SeqCst);
+    }
+    let at = scene.drains(&discovery);
+    scene.sends_nothing_after(at);
+    if who == Told::New {
+        scene.releases();
+        scene.old.stops();
+        new.is_alone();
+    }
+    assert_eq!(scene.end(), (0, 0), "lost, and connects refused");
+}
+
+#[rstest]
+fn a_configuration_read_again_before_the_new_ones_yes_holds_for_it(
+    #[values(Told::Old, Told::New)] who: Told,
+) {
+    let mut scene = Scene::begin();
+    // It has read the configuration, and has to ask again until another one's upgrade is over.
+    let other = asks(&scene);
+    let new = scene.place.begin();
+    scene.old.program.says("another one is told to ask again");
+    let discovery = scene.moves();
+    if who == Told::Old {
+        scene.old.program.signal("HUP");
+        scene.old.program.says("config: read again");
+    } else {
+        new.program.signal("HUP");
+    }
+    assert!(!new.healthy());
+    drop(other);
+    until("it says yes", || new.healthy());
+    new.program.says("handed its socket over");
+    scene.serves();
+    scene.releases();
+    scene.old.stops();
+    new.is_alone();
+    let at = scene.drains(&discovery);
+    scene.sends_nothing_after(at);
+    assert_eq!(scene.end(), (0, 0), "lost, and connects refused");
+}
+
+/// A new process that waits for what is handed over is told to read its configuration again, over and over: it goes on
+/// waiting, and takes it.
+#[test]
+fn a_signal_does_not_end_the_wait_for_what_is_handed_over() {
+    let (at, _) = database("read-write", |_, q| echo(q));
+    let place = Place::new(&target("s-00000001", at, "read-write", "active"));
+    let old = UnixListener::bind(place.folder.join(format!("handover-{}", place.listen))).unwrap();
+    let new = place.begin();
+    let mut line = old.accept().unwrap().0;
+    let mut head = [0; HEAD];
+    line.read_exact(&mut head).unwrap();
+    let mut body = vec![0; length(head).unwrap()];
+    line.read_exact(&mut body).unwrap();
+    let process = procfs::process::Process::new(new.program.0.id().cast_signed()).unwrap();
+    let waits = || process.stat().is_ok_and(|s| s.state == 'S');
+    for _ in 0..5 {
+        // Its first thread is the one that takes signals, and the one that waits.
+        until("it waits", waits);
+        new.program.signal("HUP");
+    }
+    // One that is about to end hands no socket over.
+    line.write_all(&encode(&Word::Take(vec![]))).unwrap();
+    until("it says yes", || new.healthy());
+    assert!(!new.program.log().contains("nothing was handed over"), "it did not wait");
+    new.program.says("is about to end, and handed 0 bytes over");
+    new.program.says("config: read again");
+    assert_eq!(Client::connect(place.listen).ask(&read(1)), Answer::Value("x1".into()));
+}
+
+/// A connection that never rests is served until the old process ends: what is asked on it then is not begun and cut off, but
+/// sent to the new one. Answers take so long that one is always on its way.
+#[test]
+fn what_is_asked_as_the_old_process_ends_is_sent_to_the_new_one_and_not_cut_off() {
+    let (at, _) = database("read-write", |_, q| {
+        std::thread::sleep(Duration::from_millis(100));
+        echo(q)
+    });
+    let place = Place::new(&target("s-00000001", at, "read-write", "active"));
+    let mut old = place.start();
+    let mut client = Client::connect(place.listen);
+    assert_eq!(client.ask(&once(1)), Answer::Value("x1".into()));
+    let new = place.start();
+    old.program.terminate();
+    old.program.says("the new process takes the connections from here on");
+    let mut id = 1;
+    let turned_away = loop {
+        id += 1;
+        match client.ask(&once(id)) {
+            Answer::Value(value) => assert_eq!(value, format!("x{id}")),
+            other => break other,
+        }
+    };
+    assert_eq!(turned_away, Answer::Error("53300".into(), Some("1".into())), "nothing of it has run");
+    let mut client = Client::connect(place.listen);
+    assert_eq!(client.ask(&once(id)), Answer::Value(format!("x{id}")));
+    assert!(old.program.ended().success() && new.healthy());
+}
+
 #[test]
 fn a_second_upgrade_begins_as_the_first_one_ends() {
     let mut scene = Scene::begin();
@@ -723,3 +875,41 @@
     let late = queries.iter().filter(|(when, ..)| *when > at + Duration::from_millis(500)).count();
     assert_eq!(late, 0, "sent to a member that one of the two had been told is leaving");
 }
+
+/// What waits for the new process at discovery is told it at once, before it serves: the old one is told too.
+#[test]
+fn what_discovery_tells_the_new_process_as_it_starts_holds_for_the_old_one() {
+    let (primary, _) = database("read-write", |_, q| echo(q));
+    let (drained, left) = database("read-only", |_, q| echo(q));
+    let list = [
+        target("s-00000001", primary, "read-write", "active"),
+        target("s-00000002", drained, "read-only", "active"),
+    ];
+    let place = Place::new(&list.join(","));
+    let old = place.start();
+    until("the old one watches", || place.discovery.watches.load(SeqCst) > 0);
+    // The old one's own watch hears nothing any more; the new one's will be the second connection.
+    place.discovery.only.store(2, SeqCst);
+    place.discovery.changes.lock().unwrap().push(target("s-00000002", drained, "read-only", "leaving"));
+    let mut client = Client::connect(place.listen);
+    let mut id = 0;
+    let mut ask = || {
+        id += 1;
+        assert_eq!(client.ask(&read(id)), Answer::Value(format!("x{id}")));
+    };
+    until("the old one sends to the member", || {
+        ask();
+        left.count() > 0
+    });
+    let _new = place.start();
+    until("the new one is told", || !place.discovery.told.lock().unwrap().is_empty());
+    let late = place.discovery.told.lock().unwrap()[0] + Duration::from_millis(500);
+    until("the grace is over", || {
+        ask();
+        Instant::now() > late
+    });
+    (0..50).for_each(|_| ask());
+    let sent = left.queries.lock().unwrap().iter().filter(|q| q.0 > late).count();
+    assert_eq!(sent, 0, "sent by the old process to a member that the new one had been told is leaving");
+    assert!(old.healthy());
+}
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -143,6 +143,14 @@
     /// From when to when, in seconds, it asks so many times as often.
     #[serde(default)]
     pub burst: Option<(f64, f64, f64)>,
+    /// Requests a second that it may ask of all gateways together, where that is told: from these the decision module
+    /// takes what a member can do at the least.
+    #[serde(default = "no_limit")]
+    pub allowance_per_s: f64,
+}
+
+const fn no_limit() -> f64 {
+    1e9
 }
 
 /// What happens to a member.
@@ -165,6 +173,8 @@
     Dies,
     /// It comes back, cold, as a replica.
     Starts,
+    /// It is listed for the first time, cold, as a replica.
+    Joins,
     /// The list says that it drains.
     Drains,
     /// It works at a third of its speed.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -19,8 +19,12 @@
 
 const START: i64 = 100_000_000_000;
 const GRACE: Span = Span::from_millis(500);
-const COLD: Span = Span::from_millis(17_000);
-const COLD_FROM: f64 = 0.24;
+/// A member is cold for so long from its start, can do so much of its usual work then, and is pushed over by so many times
+/// what it can do within so long.
+pub const COLD: Span = Span::from_millis(17_000);
+pub const COLD_FROM: f64 = 0.24;
+pub const TIP_MULTIPLE: f64 = 3.0;
+pub const TIP_AFTER: Span = Span::from_millis(2_000);
 /// From a primary's death to its successor.
 const ELECTION: Span = Span::from_millis(2_000);
 /// Steps that are remembered, for when a rule is broken.
@@ -56,6 +60,7 @@
     busy: usize,
     waiting: VecDeque<Piece>,
     alive: bool,
+    listed: bool,
     draining: bool,
     primary: bool,
     slow: f64,
@@ -136,11 +141,29 @@
     pub memory_kb: Vec<u64>,
     /// Answers that came after the client had stopped waiting.
     pub too_late: u64,
+    /// Requests that reached a cold member, in their order.
+    pub cold: Vec<Cold>,
     pub steps: u64,
     /// The last steps, where they are remembered.
     pub last: Vec<String>,
 }
 
+/// A request that reached a member which had started a short while before.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    pub at: Time,
+    pub member: usize,
+    pub gateway: usize,
+    pub started: Time,
+    pub primary: bool,
+}
+
+/// What a member that started so long ago can do of its usual work.
+#[must_use]
+pub fn warm_part(age: Span) -> f64 {
+    (COLD_FROM + (1.0 - COLD_FROM) * age.as_f64() / COLD.as_f64()).min(1.0)
+}
+
 /// A broken rule, and what led to it.
 pub struct Broken {
     pub rule: String,
@@ -185,7 +208,7 @@
         let routers = u32::try_from(plan.gateways).map_err(|e| e.to_string())?;
         let settings = Settings {
             classes: plan.class.iter().map(class).collect(),
-            tenants: plan.tenant.iter().map(|_| Tenant { allowance: 1e9 }).collect(),
+            tenants: plan.tenant.iter().map(|t| Tenant { allowance: t.allowance_per_s }).collect(),
             over_share_worth: Some(0.2),
             list_mode: ListMode::Pushed,
             listed_role: ListedRole::Trailing,
@@ -208,8 +231,8 @@
                 ask_within: Span::from_millis(10_000),
                 cold_from: COLD_FROM,
                 cold: COLD,
-                tip_multiple: 3.0,
-                tip_after: Span::from_millis(2_000),
+                tip_multiple: TIP_MULTIPLE,
+                tip_after: TIP_AFTER,
                 removal_not_binding: false,
             },
         };
@@ -262,6 +285,7 @@
             busy: 0,
             waiting: VecDeque::new(),
             alive: true,
+            listed: !plan.event.iter().any(|e| e.member == n && e.what == What::Joins),
             draining: false,
             primary: n == 0,
             slow: 1.0,
@@ -284,7 +308,15 @@
             next_ask: 0,
             next_client: 0,
             room: Arc::default(),
-            outcome: Outcome { tenants, returns, memory_kb, too_late: 0, steps: 0, last: vec![] },
+            outcome: Outcome {
+                tenants,
+                returns,
+                memory_kb,
+                too_late: 0,
+                cold: vec![],
+                steps: 0,
+                last: vec![],
+            },
             last: VecDeque::new(),
             trace,
         };
@@ -313,6 +345,12 @@
         Time(START) + Span::from_millis(i64::try_from(self.plan.seconds).unwrap_or(0) * 1000)
     }
 
+    /// Tells a gateway how many there are.
+    pub fn tell_routers(&mut self, gateway: usize, routers: u32) {
+        let at = self.now;
+        self.at(at, Ev::Tell(gateway, Box::new(Event::Routers(routers))));
+    }
+
     /// Runs to the end, and until all is answered.
     pub fn run(mut self) -> Result<Outcome, Broken> {
         let mut sampled = 0;
@@ -399,7 +437,7 @@
             }
             Ev::Happens(n) => self.happens(n),
             Ev::Elect => {
-                let next = self.servers.iter().position(|s| s.alive && !s.draining);
+                let next = self.servers.iter().position(|s| s.alive && s.listed && !s.draining);
                 if !self.servers.iter().any(|s| s.alive && s.primary) {
                     next.into_iter().for_each(|n| self.servers[n].primary = true);
                     self.note(|| format!("member {next:?} is primary"));
@@ -599,6 +637,11 @@
             let report = Report { position: Some(self.now - lag), primary: Some(server.primary), busy: None };
             return self.reply(&piece, Reply { report: Some(report), ..Reply::bare(Outcome2::Ok) }, true);
         };
+        if let Some(started) = server.started.filter(|started| self.now - *started < COLD) {
+            let (at, primary) = (self.now, server.primary);
+            self.outcome.cold.push(Cold { at, member: n, gateway: piece.gateway, started, primary });
+        }
+        let server = &self.servers[n];
         let write = self.asks.get(&ask).is_some_and(|a| self.plan.class[a.class].write);
         let role = Some(if server.primary { Role::Primary } else { Role::Replica });
         if write && !server.primary {
@@ -621,9 +664,7 @@
             let mean = class.work_ms.ln() - sigma2 / 2.0;
             let time = LogNormal::new(mean, sigma2.sqrt()).map_or(class.work_ms, |d| d.sample(&mut self.rng));
             let server = &mut self.servers[n];
-            let warm = server.started.map_or(1.0, |at| {
-                (COLD_FROM + (1.0 - COLD_FROM) * (self.now - at).as_f64() / COLD.as_f64()).min(1.0)
-            });
+            let warm = server.started.map_or(1.0, |at| warm_part(self.now - at));
             server.busy += 1;
             let (life, at) = (server.life, self.now + ms(time * server.slow / warm));
             self.at(at, Ev::Done(n, life, piece));
@@ -755,7 +796,8 @@
                     }
                 }
             }
-            What::Starts => {
+            What::Starts | What::Joins => {
+                server.listed = true;
                 (server.alive, server.draining, server.started) = (true, false, Some(now));
                 server.life += 1;
                 self.tell_list();
@@ -787,7 +829,8 @@
             name: Arc::clone(&s.name),
             address: Arc::from(n.to_string()),
         };
-        let members: Vec<Member> = self.servers.iter().enumerate().map(member).collect();
+        let listed = self.servers.iter().enumerate().filter(|(_, s)| s.listed);
+        let members: Vec<Member> = listed.map(member).collect();
         for n in 0..self.gateways.len() {
             let at = self.now + self.net();
             for (m, server) in self.servers.iter().enumerate() {
--- a/crates/net/src/handover.rs
+++ b/crates/net/src/handover.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use rustix::io::retry_on_intr;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags,
@@ -59,6 +60,8 @@
             Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => {
                 return Asked::Nobody;
             }
+            // A signal for this process: what it asks for is done once the start is through.
+            Err(e) if e.kind() == ErrorKind::Interrupted && Instant::now() < until => continue,
             Err(e) => return Asked::Silent(format!("{}: {e}", path.display()), None),
         };
         match handed(&line, gateway) {
@@ -81,8 +84,10 @@
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
     let mut came = RecvAncillaryBuffer::new(&mut space);
     let mut head = [0; HEAD];
-    let got =
-        rustix::net::recvmsg(line, &mut [IoSliceMut::new(&mut head)], &mut came, RecvFlags::CMSG_CLOEXEC)?;
+    // A read with a time limit ends with any signal, one that asks for a look at the configuration too.
+    let got = retry_on_intr(|| {
+        rustix::net::recvmsg(line, &mut [IoSliceMut::new(&mut head)], &mut came, RecvFlags::CMSG_CLOEXEC)
+    })?;
     let mut sockets: Vec<OwnedFd> = vec![];
     for message in came.drain() {
         if let RecvAncillaryMessage::ScmRights(fds) = message {
@@ -321,7 +326,9 @@
         if !sockets.is_empty() {
             along.push(SendAncillaryMessage::ScmRights(&sockets));
         }
-        let sent = rustix::net::sendmsg(line, &[IoSlice::new(&bytes)], &mut along, SendFlags::NOSIGNAL)?;
+        let sent = retry_on_intr(|| {
+            rustix::net::sendmsg(line, &[IoSlice::new(&bytes)], &mut along, SendFlags::NOSIGNAL)
+        })?;
         (&*line).write_all(&bytes[sent..])?;
         self.along = !sockets.is_empty();
         let what = if sockets.is_empty() { "no socket any more" } else { "the socket" };
