Judge by their ids what of a crowd that left is sent on: who stays may ask twice

check.sh failed once on leave.rs:235 (103 queries for 102): who stays is refused now and then and asks again, which the test counted.

--- a/crates/gateway/tests/leave.rs
+++ b/crates/gateway/tests/leave.rs
@@ -232,5 +232,7 @@
     until("all is given back", || gateway.program.descriptors() <= before + 2);
     let began = seen.count();
     serves(&gateway, STAYS + 200);
-    assert_eq!(seen.count(), began + 1, "nothing of theirs waits any more");
+    // Who stays may have been refused and have asked once more.
+    let since = ids(&seen).split_off(began);
+    assert!(since.iter().all(|id| *id == STAYS + 200), "nothing of theirs waits any more: {since:?}");
 }
