Give up what is out when a planned stop answers it, so that nothing is out when its client asks elsewhere

One gateway's planned stop was asked for at 26.463 s, so that moment is its exit, 3.6 s later. By reading, one way to it: writes that the stop answers 0.25 s before the end (57014) stayed out on open connections until the process ended (State::on_due, Due::End, crates/core), since only what is safe is called off. A client whose own connection was silent and sees it reset then may ask elsewhere. Now what is out is given up with the answer. Test: crates/core/tests/begin.rs, failed without.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -692,8 +692,20 @@
                     } else {
                         (Answer::Failed(Failure::Timeout), Ending::Failed(Fault::Stopping))
                     };
+                    // Nobody waits any more for what is out: it must not be out still when its client asks elsewhere.
+                    let out = self.attempts.range((id, 0)..=(id, u32::MAX)).map(|(_, conn)| *conn);
+                    let out: Vec<ConnId> = out.collect();
                     self.answer(now, id, answer, how, effects);
                     told.push(Told::Aborted(id));
+                    for conn in out {
+                        told.extend(self.on_reply(
+                            now,
+                            conn,
+                            Reply::bare(Outcome::Cancelled),
+                            false,
+                            effects,
+                        ));
+                    }
                 }
             }
         }
--- a/crates/core/tests/begin.rs
+++ b/crates/core/tests/begin.rs
@@ -98,6 +98,11 @@
 
 impl Scene {
     fn new(class: usize) -> Self {
+        Self::asked_after(class, vec![], ms(0))
+    }
+
+    /// The same where so much happened, and so much time went by, before it was asked for.
+    fn asked_after(class: usize, before: Vec<Event>, time: Span) -> Self {
         let facts = Facts {
             door: None,
             watched: None,
@@ -107,7 +112,9 @@
             probe_timeout: ms(250),
         };
         let mut state = State::new(facts, 1).unwrap();
-        let (now, room) = (Time(100_000_000), Arc::new(AtomicUsize::new(0)));
+        let (began, room) = (Time(100_000_000), Arc::new(AtomicUsize::new(0)));
+        state.reduce(began, before, &mut vec![]);
+        let now = began + time;
         let ask = Ask {
             name: Some("one".into()),
             class,
@@ -230,3 +237,16 @@
     assert!(matches!(answers[..], [Effect::Answer { answer: Answer::Refused { .. }, .. }]), "{answers:?}");
     assert!(!scene.permit.take(scene.now));
 }
+
+#[test]
+fn what_is_out_as_the_program_is_about_to_end_is_given_up_with_its_answer() {
+    // A planned stop was asked for 3 s ago; what is open 0.45 s later is answered, whatever its client would wait.
+    let mut scene = Scene::asked_after(UNSAFE, vec![Event::Terminate], ms(3_000));
+    assert!(scene.permit.take(scene.now));
+    let early = scene.turn(400, vec![]);
+    assert!(!closed(&early, scene.conn), "it may be answered yet");
+    let effects = scene.turn(60, vec![]);
+    let failed = |e: &Effect| matches!(e, Effect::Answer { answer: Answer::Failed(_), .. });
+    assert!(effects.iter().any(failed), "it may have run: {effects:?}");
+    assert!(closed(&effects, scene.conn), "it is not out any more when its client asks elsewhere");
+}
