Let no attempt overtake the end of the connection that was given up before it

At fault: Router::on_ended (decide.rs) placed what was given up in the same turn: the connection's end and the next query leave together, on two ways, and the nearer one arrives first. Now two ticks lie between them.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -713,10 +713,9 @@
     }
 
     fn on_ended(&mut self, end: &AttemptEnd, actions: &mut Vec<Action>) {
-        let (now, attempt) = (self.now, (end.request, end.attempt));
+        let (now, id) = (self.now, (end.request, end.attempt));
         let node = self.nodes.get_mut(&end.node);
-        let (out, stream) =
-            node.map_or((None, None), |n| (n.out.remove(&attempt), n.streams.remove(&attempt)));
+        let (out, stream) = node.map_or((None, None), |n| (n.out.remove(&id), n.streams.remove(&id)));
         let (gone, begun) = (out.or(stream.map(|(_, sent)| sent)), stream.map(|(at, _)| at));
         let sent = gone.map(|(at, ..)| at);
         gone.into_iter().for_each(|(_, class, key)| self.measure(end, class, key));
@@ -755,6 +754,9 @@
         let Some(open) = self.open.get_mut(&end.request) else { return };
         open.ran_from = open.ran_from.or(sent.filter(|_| !end.outcome.never_ran()));
         let class = &self.cfg.classes[open.class.0];
+        // The end of a connection that was given up must not be overtaken by the next attempt.
+        let given_up = matches!(end.outcome, Outcome::Timeout | Outcome::Cancelled);
+        open.not_before = if given_up { now + Span(self.cfg.tick.0 * 2) } else { open.not_before };
         if class.need != Need::Write {
             open.avoid.insert(end.node);
             let need = Self::needed(class, open.floor, sent.unwrap_or(now));
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -129,6 +129,8 @@
     assert_eq!(s.cancels, [(RequestId(1), 0)]);
     s.report(2, 0, true);
     s.end(1, Outcome::Cancelled, None);
+    assert_eq!(s.at(1), Some(1), "the end of its connection is on its way: nothing may overtake it");
+    s.run(2 * settings().tick.0 / 1000 + 5);
     assert_eq!(s.at(1), Some(2));
 }
 
