Let what a spoilt answer ended wait two ticks as well before it goes out again

A test of the module looks two ticks later, since the next attempt begins then; its bounds are as before.

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -755,7 +755,7 @@
         open.ran_from = open.ran_from.or(sent.filter(|_| !end.outcome.never_ran()));
         let class = &self.cfg.classes[open.class.0];
         // The end of a connection that was given up must not be overtaken by the next attempt.
-        let given_up = matches!(end.outcome, Outcome::Timeout | Outcome::Cancelled);
+        let given_up = matches!(end.outcome, Outcome::Timeout | Outcome::Cancelled | Outcome::Error);
         open.not_before = if given_up { now + Span(self.cfg.tick.0 * 2) } else { open.not_before };
         if class.need != Need::Write {
             open.avoid.insert(end.node);
--- a/crates/policy/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -510,6 +510,8 @@
         while s.at(id) == Some(2) {
             sent += 1;
             s.end(id, Outcome::Error, REPLICA);
+            // It goes out again once its connection's end cannot be overtaken any more.
+            s.run(2 * settings().tick.0 / 1000 + 5);
         }
         s.end(id, Outcome::Ok, REPLICA);
     }
