--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -154,7 +154,7 @@
         if let Members::Discovery(address) = front.members {
             let place = Arc::new(list::Place::new(address));
             let (site, events) = (front.site.clone(), made.inbox.0.clone());
-            let watch = list::Watch::new(place, site, clock, events, Arc::clone(&fleet), seed);
+            let watch = list::Watch::new(place, false, site, clock, events, Arc::clone(&fleet), seed);
             let (service, asks, tells) = (Arc::clone(&service), asking, Arc::clone(&mgmt));
             asking += 1;
             let confirmed = move || {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -54,7 +54,7 @@
     if let Some(listen) = mgmt {
         told.serve(listen).map_err(|e| format!("mgmt: {e}"))?;
     }
-    let watch = list::Watch::new(Arc::clone(&place), site.clone(), clock, inbox.0.clone(), fleet, seed);
+    let watch = list::Watch::new(Arc::clone(&place), true, site.clone(), clock, inbox.0.clone(), fleet, seed);
     let taker = watch.taker();
     let confirms = Arc::clone(&told);
     let both: Arc<OnceLock<Stops>> = Arc::default();
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cql;
 pub mod manager;
+pub mod script;
 pub mod watched;
 
 use std::io::{Read, Write};
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,8 +3,10 @@
 
 #![forbid(unsafe_code)]
 
+mod call;
 pub mod clients;
 pub mod handover;
+pub mod http;
 pub mod link;
 pub mod list;
 pub mod log;
--- a/crates/net/src/list.rs
+++ b/crates/net/src/list.rs
@@ -1,11 +1,11 @@
 //! Discovery: the list of servers, watched over HTTP.
 
 use std::collections::{HashMap, HashSet};
-use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::io;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::Sender;
 use serde::Deserialize;
@@ -13,10 +13,13 @@
 use valehatch_config::{Site, number};
 use valehatch_pace::Backoff;
 use valehatch_policy::{Entry, GroupId, KindId, ListMode, NodeId, NodeState, Span, Time, ZoneId};
-use valehatch_recovery::book::{Ahead, Book, Listed};
+use valehatch_recovery::book::{Ahead, Book, Listed, TOLD, TOLD_AFTER_WAIT};
 
 use super::servers::place_ms;
 use crate::Clock;
+pub use crate::call::Place;
+use crate::call::{Call, Line, Patience, first};
+use crate::http::Answer;
 use crate::lock;
 use valehatch_core::{Event, Member};
 
@@ -24,12 +27,21 @@
 const CALLS_S: u32 = 5;
 /// How long one call of the watch may wait for news, by that.
 const HOLD: (Span, Span) = (Span::from_millis(2_000), Span::from_millis(20_000));
-/// How long an agent that is asked for nothing but what it has been sent may take.
+/// The same where the gateway's own agent is asked, at no cost: what it has binds at once, and an agent that falls
+/// silent in a call and is back before that call is over would not be heard until then.
+const HOLD_AGENT: Duration = Duration::from_millis(100);
+/// How much longer than that the agent, which answers at once, may take before it is asked anew, beside the call that
+/// is out: its silence is heard to be over this long and the wait after it at the latest.
+const LATE_AGENT: Duration = Duration::from_millis(100);
+/// The same of a call to a service that may wait. Also how long nothing may be heard before that is said, and how long an
+/// answer may come in pieces before the next call goes out beside it.
 const SILENCE: Duration = Duration::from_millis(700);
-/// Between tries, at first; the watch goes on only when the next call comes within 200 ms.
+/// Calls that may be out at once: as many as become late one after the other within the silence that is said.
+const OUT: usize = 7;
+/// Between tries: the first bound, the last one where the agent is asked, and where lists are pushed from elsewhere.
 const PAUSE: Span = Span::from_millis(50);
-/// The longest answer that is read.
-const MOST: usize = 1024 * 1024;
+const LONGEST_AGENT: Span = Span::from_millis(100);
+const LONGEST_PUSHED: Span = Span::from_millis(2_500);
 
 #[derive(Deserialize)]
 struct List {
@@ -38,62 +50,6 @@
     targets: Vec<Listed>,
 }
 
-/// Where discovery answers, and the connection to it that is in use: a new address ends it at once, and a rest too.
-pub struct Place(Mutex<(SocketAddr, Option<Arc<TcpStream>>)>, Condvar);
-
-impl Place {
-    pub const fn new(address: SocketAddr) -> Self {
-        Self(Mutex::new((address, None)), Condvar::new())
-    }
-
-    fn address(&self) -> SocketAddr {
-        lock(&self.0).0
-    }
-
-    /// Takes the watch elsewhere; the list that is held goes on to hold.
-    pub fn set(&self, address: SocketAddr) {
-        let mut held = lock(&self.0);
-        if held.0 != address {
-            held.0 = address;
-            held.1.take().into_iter().for_each(|line| drop(line.shutdown(Shutdown::Both)));
-            self.1.notify_all();
-        }
-    }
-
-    /// Waits, for as long as discovery stays at this address.
-    fn rest(&self, address: SocketAddr, pause: Span) {
-        let pause = Duration::from_micros(pause.0.unsigned_abs());
-        drop(self.1.wait_timeout_while(lock(&self.0), pause, |held| held.0 == address));
-    }
-
-    fn connect(&self) -> io::Result<Line> {
-        let address = self.address();
-        let stream = TcpStream::connect_timeout(&address, SILENCE)?;
-        stream.set_nodelay(true)?;
-        let stream = Arc::new(stream);
-        let mut held = lock(&self.0);
-        if held.0 != address {
-            return Err(io::Error::other("discovery has moved"));
-        }
-        held.1 = Some(Arc::clone(&stream));
-        Ok(Line { address, from: BufReader::new(Shared(stream)) })
-    }
-}
-
-struct Shared(Arc<TcpStream>);
-
-impl Read for Shared {
-    fn read(&mut self, into: &mut [u8]) -> io::Result<usize> {
-        (&*self.0).read(into)
-    }
-}
-
-/// A connection to discovery.
-struct Line {
-    address: SocketAddr,
-    from: BufReader<Shared>,
-}
-
 /// What takes lists in, whoever tells them, and hands them to the core.
 pub struct Taker {
     site: Site,
@@ -133,14 +89,20 @@
         }
     }
 
-    /// Takes a list of discovery's own, unless all of it is in already.
-    fn told(&mut self, from: SocketAddr, list: List) -> u64 {
+    /// Takes a list of discovery's own, unless all of it is in already: up to which version it has been followed. None
+    /// for changes that do not fit what is held, since who tells them has begun to count anew.
+    fn told(&mut self, from: SocketAddr, list: List) -> Option<u64> {
         let now = self.clock.now();
-        if self.ahead.is_some_and(|ahead| ahead.covers(from, list.rev, now)) {
-            return list.rev;
+        if let Some(ahead) = self.ahead {
+            if ahead.covers(from, list.rev, now) {
+                return Some(list.rev);
+            }
+            self.ahead = None;
+            if ahead.is_beyond(from, list.rev) && !list.all {
+                return None;
+            }
         }
-        self.ahead = None;
-        self.take(from, list)
+        Some(self.take(from, list))
     }
 
     /// Takes a list that somebody else than discovery told, unless one is held.
@@ -153,16 +115,67 @@
     }
 }
 
+/// Who tells the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Teller {
+    /// An agent on the gateway's own machine: it is asked at no cost, and what it has binds at once.
+    Agent,
+    /// A service elsewhere, which pushes its lists.
+    Pushes,
+    /// One service that all gateways ask, and that answers so many a second: a call waits for its turn.
+    Asked,
+}
+
+/// How the teller is asked.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    /// How long a call for the whole list is waited for, and one that may wait for news.
+    whole: Patience,
+    watch: Patience,
+    /// Between tries: the first bound and the last.
+    pauses: (Span, Span),
+    /// How long after one that failed the next call may begin, at the latest.
+    room: Span,
+}
+
+impl Terms {
+    fn of(teller: Teller, site: &Site) -> Self {
+        let within = site.settings.rules.ask_within;
+        // Whatever failed before, what discovery has counts as told in the end: the next call has to go out as much
+        // earlier as its answer may take.
+        let room = (TOLD - TOLD_AFTER_WAIT).min(within.times(0.4));
+        let end = duration(TOLD_AFTER_WAIT);
+        let (whole, watch, pauses) = match teller {
+            Teller::Agent => {
+                let agent = Patience { late: LATE_AGENT, pieces: SILENCE, end };
+                (agent, agent, (PAUSE, LONGEST_AGENT))
+            }
+            Teller::Pushes => {
+                let service = Patience { late: SILENCE, pieces: SILENCE, end };
+                (service, service, (PAUSE, LONGEST_PUSHED.min(within.times(0.25))))
+            }
+            // Hanging up on a call that waits for its turn only wastes it. The first bound is what the fleet takes for a
+            // call each.
+            Teller::Asked => {
+                let turn = duration(within.times(0.25).min(room));
+                let round = valehatch_pace::round(site.settings.routers, CALLS_S).min(room);
+                let whole = Patience { late: turn, pieces: turn, end: turn };
+                (whole, Patience { late: SILENCE.min(turn), ..whole }, (round.max(PAUSE), room))
+            }
+        };
+        Self { whole, watch, pauses, room }
+    }
+}
+
 /// Watches the list.
 pub struct Watch {
     place: Arc<Place>,
     taker: Arc<Mutex<Taker>>,
-    asked: bool,
+    teller: Teller,
     clock: Clock,
     /// Gateways that ask the same service.
     fleet: Arc<AtomicU32>,
-    /// How much longer an answer may take before the agent counts as silent.
-    silence: Duration,
+    terms: Terms,
     pace: Backoff,
     /// Called whenever discovery itself has confirmed the list.
     confirmed: Box<dyn Fn() + Send>,
@@ -170,38 +183,64 @@
     changed: Box<dyn Fn(Book) + Send>,
 }
 
+/// What discovery has told, in a call from a version on or for the whole list.
+struct Heard {
+    list: List,
+    from: Option<u64>,
+    line: Option<Line>,
+}
+
+/// Nothing was heard: since when, and whether that was said.
+#[derive(Default)]
+struct Trouble {
+    since: Option<Instant>,
+    said: bool,
+}
+
+impl Trouble {
+    /// Silence is said once it has lasted, all else at once; each trouble once.
+    fn failed(&mut self, e: &io::Error) {
+        let lasted = self.since.get_or_insert_with(Instant::now).elapsed();
+        let silent = e.kind() == io::ErrorKind::TimedOut;
+        if !self.said && (!silent || lasted >= SILENCE) {
+            self.said = true;
+            tracing::warn!("discovery: {e}; the list that is held goes on to hold");
+        }
+    }
+
+    fn over(&mut self) {
+        if std::mem::take(self).said {
+            tracing::info!("discovery answers again");
+        }
+    }
+}
+
+const fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0.unsigned_abs())
+}
+
 impl Watch {
+    /// `own`: what pushes lists is an agent on this machine.
     pub fn new(
         place: Arc<Place>,
+        own: bool,
         site: Site,
         clock: Clock,
         events: Sender<Event>,
         fleet: Arc<AtomicU32>,
         seed: u64,
     ) -> Self {
-        let (asked, within) = (site.settings.list_mode == ListMode::Asked, site.settings.rules.ask_within);
-        // Where all gateways ask one service, a call waits for its turn: hanging up early only wastes it. The rules
-        // count a gateway as told that has not asked within that time, four times that after a call that failed.
-        let round = valehatch_pace::round(site.settings.routers, CALLS_S).min(within.times(0.8));
-        let (silence, pace) = if asked {
-            (Duration::from_micros(within.0.unsigned_abs() / 4), (round.max(PAUSE), Span(within.0 * 3)))
-        } else {
-            (SILENCE, (PAUSE, Span(within.0 / 4)))
+        let teller = match site.settings.list_mode {
+            ListMode::Asked => Teller::Asked,
+            ListMode::Pushed if own => Teller::Agent,
+            ListMode::Pushed => Teller::Pushes,
         };
-        let pace = Backoff::new(pace.0, pace.1, seed);
+        let terms = Terms::of(teller, &site);
+        let pace = Backoff::new(terms.pauses.0, terms.pauses.1, seed);
         let (ids, book, confirmed_at, ahead) = (HashMap::new(), Book::default(), None, None);
         let taker = Arc::new(Mutex::new(Taker { site, clock, events, ids, book, confirmed_at, ahead }));
-        Self {
-            place,
-            taker,
-            asked,
-            clock,
-            fleet,
-            silence,
-            pace,
-            confirmed: Box::new(|| {}),
-            changed: Box::new(drop),
-        }
+        let (confirmed, changed) = (Box::new(|| {}), Box::new(drop));
+        Self { place, taker, teller, clock, fleet, terms, pace, confirmed, changed }
     }
 
     /// What takes the lists in.
@@ -249,76 +288,112 @@
     }
 
     fn run(mut self, mut told: Option<(SocketAddr, u64)>) {
-        let mut line: Option<Line> = None;
-        // Versions belong to the address that told them: elsewhere the whole list is asked for first.
-        let mut failing = false;
-        if self.asked {
+        let (mut out, mut line, mut trouble) = (vec![], None::<Line>, Trouble::default());
+        if self.teller == Teller::Asked {
             let pause = self.pace.start();
-            self.place.rest(self.place.address(), pause);
+            self.place.rest(self.place.address(), duration(pause));
         }
         loop {
             let address = self.place.address();
-            line = line.filter(|l| l.address == address);
-            match self.call(&mut line, told.filter(|(at, _)| *at == address).map(|(_, rev)| rev)) {
-                Ok(list) => {
-                    if std::mem::take(&mut failing) {
-                        tracing::info!("discovery answers again");
-                    }
+            line = line.filter(|l| l.leads_to(address));
+            out.retain(|call: &Call| call.leads_to(address));
+            // Versions belong to the address that told them: elsewhere the whole list is asked for first.
+            let from = told.filter(|(at, _)| *at == address).map(|(_, rev)| rev);
+            let (began, hold) = (Instant::now(), self.hold(trouble.since.is_some()));
+            let heard = self.ask(&mut out, line.take(), address, from, hold).and_then(|heard| {
+                line = heard.line;
+                // Nobody but a discovery that counts anew, or one that lags, tells less than it was asked from: which of
+                // the two it is its whole list tells, and that goes whatever its version.
+                told = None;
+                if let Some(from) = heard.from.filter(|from| heard.list.rev < *from) {
+                    let rev = heard.list.rev;
+                    return Err(io::Error::other(format!("version {rev} was told to one that has {from}")));
+                }
+                self.take(address, heard.list).map(|rev| told = Some((address, rev)))
+            });
+            match heard {
+                Ok(()) => {
+                    // What is still out was asked before: its answer would be an older one.
+                    out.clear();
+                    trouble.over();
                     self.pace.answered();
-                    let news = list.all || !list.targets.is_empty();
-                    let mut taker = lock(&self.taker);
-                    told = Some((address, taker.told(address, list)));
-                    taker.confirmed_at = Some(self.clock.now());
-                    let held = news.then(|| taker.book.clone());
-                    drop(taker);
-                    held.into_iter().for_each(&self.changed);
                     (self.confirmed)();
                 }
+                Err(_) if self.place.address() != address => self.pace.answered(),
                 Err(e) => {
-                    line = None;
-                    if self.place.address() != address {
-                        self.pace.answered();
-                        continue;
-                    }
-                    // Silence or nonsense, which is said once.
-                    if !std::mem::replace(&mut failing, true) {
-                        tracing::warn!("discovery: {e}; the list that is held goes on to hold");
-                    }
-                    let pause = self.pace.failed();
-                    self.place.rest(address, pause);
+                    trouble.failed(&e);
+                    self.rest(address, &e, began, from.map(|_| hold));
                 }
             }
         }
     }
 
-    fn call(&self, line: &mut Option<Line>, from: Option<u64>) -> io::Result<List> {
-        let Line { address, from: stream } = match line {
-            Some(line) => line,
-            None => line.insert(self.place.connect()?),
-        };
-        let (path, wait) = match from {
-            None => ("/v1/servers".to_owned(), self.silence),
-            Some(rev) => {
-                let fleet = self.fleet.load(Ordering::Relaxed);
-                let hold = valehatch_pace::hold(fleet, CALLS_S, HOLD.0, HOLD.1);
-                let hold = Duration::from_micros(hold.0.unsigned_abs());
-                (format!("/v1/servers?from={rev}&hold_ms={}", hold.as_millis()), hold + self.silence)
-            }
-        };
-        stream.get_ref().0.set_read_timeout(Some(wait))?;
-        let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nAccept: application/json\r\n\r\n");
-        (&*stream.get_ref().0).write_all(request.as_bytes())?;
-        let (body, keep) = read_response(stream)?;
-        if !keep {
-            *line = None;
+    /// How long a call may wait for news. In trouble a short wait, so that the next call is not held up for long either.
+    fn hold(&self, trouble: bool) -> Duration {
+        let fleet = self.fleet.load(Ordering::Relaxed);
+        match self.teller {
+            Teller::Agent => HOLD_AGENT,
+            _ if trouble => duration(HOLD.0),
+            _ => duration(valehatch_pace::hold(fleet, CALLS_S, HOLD.0, HOLD.1)),
         }
-        serde_json::from_slice(&body).map_err(|e| io::Error::other(format!("no list: {e}")))
+    }
+
+    /// Rests between a call that failed, which may have waited so long, and the next.
+    fn rest(&mut self, address: SocketAddr, e: &io::Error, began: Instant, hold: Option<Duration>) {
+        // An agent that is late has been waited for, and costs nothing.
+        if self.teller == Teller::Agent && e.kind() == io::ErrorKind::TimedOut {
+            return;
+        }
+        // What discovery had when this call went out is due by then, and what it had when the call failed by now.
+        let room = duration(self.terms.room);
+        let after_wait = hold.unwrap_or_default() + duration(TOLD_AFTER_WAIT) / 2;
+        let until = began + room.max(after_wait);
+        let room = until.saturating_duration_since(Instant::now()).min(room);
+        let room = Span(i64::try_from(room.as_micros()).unwrap_or(i64::MAX));
+        let pause = self.pace.failed_within(room);
+        self.place.rest(address, duration(pause));
+    }
+
+    /// Takes what discovery has told: up to which version it has been followed.
+    fn take(&self, address: SocketAddr, list: List) -> io::Result<u64> {
+        let news = list.all || !list.targets.is_empty();
+        let mut taker = lock(&self.taker);
+        let Some(rev) = taker.told(address, list) else {
+            return Err(io::Error::other("an older version than the other process of this gateway was told"));
+        };
+        taker.confirmed_at = Some(self.clock.now());
+        let held = news.then(|| taker.book.clone());
+        drop(taker);
+        held.into_iter().for_each(&self.changed);
+        Ok(rev)
+    }
+
+    /// Asks once more, beside the calls that are out, and waits for the first answer to any of them.
+    fn ask(
+        &self,
+        out: &mut Vec<Call>,
+        line: Option<Line>,
+        address: SocketAddr,
+        from: Option<u64>,
+        hold: Duration,
+    ) -> io::Result<Heard> {
+        let line = line.map_or_else(|| Line::connect(address), Ok)?;
+        let patience = if from.is_some() { self.terms.watch } else { self.terms.whole };
+        out.push(Call::begin(&self.place, line, from, hold, patience)?);
+        out.drain(..out.len().saturating_sub(OUT));
+        let (call, Answer { body, keep }) = first(out)?;
+        let list = serde_json::from_slice(&body).map_err(|e| io::Error::other(format!("no list: {e}")))?;
+        Ok(Heard { list, from: call.from, line: keep.then(|| call.line()) })
     }
 }
 
 impl Taker {
     fn take(&mut self, from: SocketAddr, list: List) -> u64 {
         self.book.take(from, list.rev, list.all, &list.targets);
+        // No news: the core need not be told of every call.
+        if !list.all && list.targets.is_empty() {
+            return list.rev;
+        }
         // Names come and go all day: those that the list no longer holds are forgotten with it.
         let named: HashSet<&str> = list.targets.iter().map(|t| t.uid.as_str()).collect();
         self.ids.retain(|uid, _| !list.all || named.contains(uid.as_str()));
@@ -373,57 +448,3 @@
         id
     }
 }
-
-/// The body of a response, and whether the connection can be used again.
-fn read_response(from: &mut impl BufRead) -> io::Result<(Vec<u8>, bool)> {
-    let bad = |what: String| io::Error::other(what);
-    let mut head = vec![];
-    while !head.ends_with(b"\r\n\r\n") {
-        if from.by_ref().take(16 * 1024).read_until(b'\n', &mut head)? == 0 || head.len() > 16 * 1024 {
-            return Err(bad("the answer has no end of its head".into()));
-        }
-    }
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut response = httparse::Response::new(&mut headers);
-    response.parse(&head).map_err(|e| bad(format!("no HTTP: {e}")))?;
-    if response.code != Some(200) {
-        return Err(bad(format!("HTTP status {:?}", response.code)));
-    }
-    let header = |name: &str| {
-        let named = response.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name));
-        named.and_then(|h| std::str::from_utf8(h.value).ok()).map(|v| v.trim().to_ascii_lowercase())
-    };
-    let keep = header("connection").is_none_or(|v| v != "close");
-    let mut body = vec![];
-    if header("transfer-encoding").is_some_and(|v| v == "chunked") {
-        loop {
-            let mut line = String::new();
-            from.by_ref().take(64).read_line(&mut line)?;
-            let size = usize::from_str_radix(line.trim().split(';').next().unwrap_or_default(), 16);
-            let size = size.map_err(|_| bad(format!("no size of a chunk: {line:?}")))?;
-            if body.len() + size > MOST {
-                return Err(bad("the answer is too long".into()));
-            }
-            let at = body.len();
-            body.resize(at + size, 0);
-            from.read_exact(&mut body[at..])?;
-            from.read_exact(&mut [0; 2])?;
-            if size == 0 {
-                return Ok((body, keep));
-            }
-        }
-    }
-    let length = header("content-length").map(|v| v.parse::<usize>());
-    match length {
-        Some(Ok(length)) if length <= MOST => {
-            body.resize(length, 0);
-            from.read_exact(&mut body)?;
-            Ok((body, keep))
-        }
-        Some(other) => Err(bad(format!("a length of {other:?}"))),
-        None => {
-            from.take(MOST as u64).read_to_end(&mut body)?;
-            Ok((body, false))
-        }
-    }
-}
--- a/crates/pace/src/lib.rs
+++ b/crates/pace/src/lib.rs
@@ -37,8 +37,14 @@
 
     /// A call has failed: how long to rest before the next.
     pub fn failed(&mut self) -> Span {
-        let (bound, part) = (self.bound, self.part());
-        self.bound = Span(bound.0.saturating_mul(2).min(self.longest.0));
+        self.failed_within(self.longest)
+    }
+
+    /// The same where the next call has to go out within so much: drawn evenly all the same, not cut to it, or all
+    /// that are late would call at one moment.
+    pub fn failed_within(&mut self, room: Span) -> Span {
+        let (bound, part) = (self.bound.min(room).max(Span(0)), self.part());
+        self.bound = Span(self.bound.0.saturating_mul(2).min(self.longest.0));
         bound.times(part)
     }
 
--- a/crates/pace/tests/pace.rs
+++ b/crates/pace/tests/pace.rs
@@ -69,6 +69,19 @@
     assert!(pace.failed() < FIRST);
 }
 
+/// A call that has to go out in time does, and those that have to at the same time do not all go out at its end.
+#[test]
+fn a_pause_within_so_much_is_drawn_from_it_and_the_next_bound_grows_all_the_same() {
+    let room = Span::from_millis(300);
+    let mut paces: Vec<Backoff> = (0..100).map(|n| Backoff::new(LONGEST, LONGEST, n)).collect();
+    let pauses: Vec<Span> = paces.iter_mut().map(|pace| pace.failed_within(room)).collect();
+    assert!(pauses.iter().all(|p| *p >= Span(0) && *p < room), "{pauses:?}");
+    assert!(pauses.iter().filter(|p| p.0 > room.0 / 2).count().abs_diff(50) < 25, "{pauses:?}");
+    let mut pace = Backoff::new(FIRST, LONGEST, 7);
+    assert_eq!((pace.failed_within(Span(0)), pace.failed_within(Span(-5))), (Span(0), Span(0)));
+    assert!((0..100).map(|_| pace.failed()).any(|p| p > FIRST.times(4.0)));
+}
+
 #[rstest]
 #[case::nothing_to_draw_from(Span(0), Span(0))]
 #[case::the_wrong_way_round(LONGEST, FIRST)]
--- a/crates/recovery/src/book.rs
+++ b/crates/recovery/src/book.rs
@@ -35,8 +35,13 @@
     pub mode: String,
 }
 
+/// PROTOCOL-valehatch.md, "Figures", in milliseconds: what discovery has to tell counts as told so much later at the
+/// latest, whether or not it arrived.
+pub const TOLD: Span = Span::from_millis(6_000);
+/// The same page and unit: the same of a call that may wait, from the end of its wait on, if that is later.
+pub const TOLD_AFTER_WAIT: Span = Span::from_millis(2_000);
 /// How long the other process's word goes before what discovery tells this one: by then it counts as told of the same.
-const AHEAD: Span = Span::from_millis(6_000);
+const AHEAD: Span = TOLD;
 
 /// How far the word of the other process has brought the list. What discovery tells this one of the time before that is in
 /// already, and would take back what came after it.
@@ -57,7 +62,13 @@
     /// Whether what this source tells at a version is in already. Only for a while: a source may begin to count anew.
     #[must_use]
     pub fn covers(&self, from: SocketAddr, rev: u64, now: Time) -> bool {
-        self.from == from && rev < self.rev && now < self.until
+        self.is_beyond(from, rev) && now < self.until
+    }
+
+    /// Whether it is of a later version of the same source.
+    #[must_use]
+    pub fn is_beyond(&self, from: SocketAddr, rev: u64) -> bool {
+        self.from == from && rev < self.rev
     }
 }
 
@@ -158,6 +169,8 @@
         for (from, rev, at, covered) in cases {
             assert_eq!(ahead.covers(from.parse().unwrap(), rev, at), covered, "{from} {rev} {at:?}");
         }
+        let beyond = |from: &str, rev| ahead.is_beyond(from.parse().unwrap(), rev);
+        assert!(beyond(HERE, 5) && !beyond(HERE, 6) && !beyond(THERE, 5));
         assert_eq!(Ahead::of(&book(None), now), None);
     }
 }
