Show that long queries overload a restarted endpoint within its budget (failing test)

Of the 26 attempts that reached it in the 2 s before it fell, 21 were season-reports, the class with 0.8 to 1.4 s of work; the budget was drawn by count and only a third of it was used. At fault: Router::cold_draw takes one credit for each attempt, whatever its class, and Router::bearer sends all long queries of a group to its last replica in sorted order, also while that one has just started. crates/lab/tests/cold.rs could not see it: its classes all need the same work.

--- /dev/null
+++ b/crates/policy/tests/slow_start.rs
@@ -0,0 +1,129 @@
+//! The slow-start budget of an endpoint that has just started, over the sum of all gateways, where some queries are
+//! far longer than the mean.
+
+mod script;
+
+use rstest::rstest;
+use script::*;
+use valehatch_policy::*;
+
+/// Gateways that share the group, each with its part of the traffic.
+const GATEWAYS: u64 = 32;
+/// Endpoints of the group. The first is its primary, the last one restarts.
+const MEMBERS: u32 = 4;
+/// Requests of mean work that tenants may send in a second, and what they do send.
+const ALLOWANCE: f64 = 240.0;
+const GAP_MS: i64 = 160;
+/// Work of a short query and of a report, in milliseconds, and one report in so many requests.
+const SHORT_MS: i64 = 60;
+const REPORT_MS: i64 = 1_100;
+/// Time before the restart, and after it.
+const WARM_MS: i64 = 10_000;
+const COLD_MS: i64 = 8_000;
+
+/// The settings of [`script::settings`] and one class more: reports, which any member may answer.
+fn with_reports() -> (Settings, ClassId) {
+    let mut settings = settings();
+    let report = Class {
+        need: Need::Any,
+        effect: Effect::Safe,
+        aim: ms(6_000),
+        aim_stretch: 0.0,
+        deadline: ms(12_000),
+        worth: 4.0,
+        late_worth: 0.0,
+    };
+    settings.classes.push(report);
+    settings.routers = GATEWAYS as u32;
+    settings.tenants = vec![Tenant { allowance: ALLOWANCE }];
+    (settings.clone(), ClassId(settings.classes.len() - 1))
+}
+
+/// What one gateway sends to the restarted endpoint: when, and how much work.
+fn sent_by_one(gateway: u64, seed: u64, one_report_in: u64, restarted: &[u32]) -> Vec<(Time, f64)> {
+    let (cfg, report) = with_reports();
+    let mut script = Script::group_seeded(cfg, MEMBERS, 1, seed * GATEWAYS + gateway);
+    let mut ends: Vec<(Time, u64)> = vec![];
+    let mut sends_seen = 0;
+    let mut sent = vec![];
+    let began = script.now;
+    script.run(gateway as i64 * GAP_MS / GATEWAYS as i64);
+    let mut id = 0;
+    while script.now < began + ms(WARM_MS + COLD_MS) {
+        id += 1;
+        // Reports are spread over the gateways, so that none sends its own in step with another.
+        let class = if (id + gateway * 7).is_multiple_of(one_report_in) { report } else { ANY };
+        if id == (WARM_MS / GAP_MS) as u64 {
+            let now = script.now;
+            let entries = restarted.iter().map(|node| {
+                let mut entry = entry(*node, *node == 1, NodeState::Ready);
+                entry.started = Some(now);
+                entry
+            });
+            script.list(false, entries.collect());
+        }
+        script.request_with(id, class, if class == report { 12_000 } else { 3_000 }, None);
+        let next = script.now + ms(GAP_MS);
+        while script.now < next {
+            script.run(5);
+            for (request, node) in &script.sends[sends_seen..] {
+                let is_report = (request.0 + gateway * 7).is_multiple_of(one_report_in);
+                let work = if is_report { REPORT_MS } else { SHORT_MS };
+                ends.push((script.now + ms(work), request.0));
+                if *node == NodeId(MEMBERS) && id >= (WARM_MS / GAP_MS) as u64 {
+                    sent.push((script.now, work as f64));
+                }
+            }
+            sends_seen = script.sends.len();
+            let now = script.now;
+            let due: Vec<u64> = ends.iter().filter(|(at, _)| *at <= now).map(|(_, id)| *id).collect();
+            ends.retain(|(at, _)| *at > now);
+            for id in due {
+                let role = if script.at(id) == Some(1) { Role::Primary } else { Role::Replica };
+                let end = script.ended(id, Outcome::Ok, Some(role), None);
+                script.step(&end.into_iter().collect::<Vec<_>>());
+            }
+        }
+    }
+    sent
+}
+
+/// The most work that reached the endpoint within the window that counts, as a part of what pushes it over.
+fn worst_window(mut sent: Vec<(Time, f64)>, one_report_in: u64) -> (f64, f64) {
+    sent.sort_by_key(|(at, _)| *at);
+    let rules = settings().rules;
+    let reports = 1.0 / one_report_in as f64;
+    let mean = reports * REPORT_MS as f64 + (1.0 - reports) * SHORT_MS as f64;
+    let started = Time(100_000_000) + ms(WARM_MS / GAP_MS * GAP_MS);
+    let mut worst = (0.0, 0.0);
+    for (last, (at, _)) in sent.iter().enumerate() {
+        let window = sent[..=last].iter().rev().take_while(|(earlier, _)| *at - *earlier < rules.tip_after);
+        let units = window.map(|(_, work)| work / mean).sum::<f64>();
+        let grown = ((*at - started).as_f64() / rules.cold.as_f64()).clamp(0.0, 1.0);
+        let part = rules.cold_from + (1.0 - rules.cold_from) * grown;
+        let capacity = ALLOWANCE / f64::from(MEMBERS) * part * rules.tip_after.as_f64() / 1e6;
+        let n = rules.tip_multiple * capacity;
+        let bound = n + 2.0 * n.sqrt() + 2.0;
+        if units / bound > worst.0 {
+            worst = (units / bound, bound);
+        }
+    }
+    worst
+}
+
+#[rstest]
+#[case::one_replica_restarts(&[4])]
+#[case::the_whole_group_restarts(&[1, 2, 3, 4])]
+fn long_queries_count_by_their_work_in_the_budget_of_a_restarted_endpoint(#[case] restarted: &[u32]) {
+    for (one_report_in, seed) in [(25, 1), (25, 2), (25, 3), (50, 1), (50, 2), (50, 3)] {
+        let all = (0..GATEWAYS).flat_map(|gateway| sent_by_one(gateway, seed, one_report_in, restarted));
+        let sent: Vec<_> = all.collect();
+        let count = sent.len();
+        let (part, bound) = worst_window(sent, one_report_in);
+        println!(
+            "one report in {one_report_in}, seed {seed}: {count} sent, at the worst {part:.2} of {bound:.0} requests of mean work"
+        );
+        assert!(count > 10, "{count} sent: nothing is shown by that");
+        assert!(part <= 1.0, "{part:.2} times what pushes it over ({bound:.0} requests of mean work)");
+    }
+}
