Correct the cluster's clock by what endpoints tell, not by the wall clock alone

Cause: Clock::place (net/turn.rs) trusted the wall clock as read once at the start, and Databases::position took positions up to 1 s ahead of it as they were: with a clock 0.9 or 2 s behind, old data looked fresh (stale reads). Change: core::cluster_clock keeps the offset between the two clocks. A time that was told lies at or before the moment it came in; a primary's position or commit at or behind the moment it was asked for. Two observations must agree, so one spoilt answer moves nothing. Link::check_times feeds it and drops times that cannot be; on a correction the module forgets positions and moves starts and sessions (Event::ClockCorrected). Where endpoints do not check the age of their data, replicas' positions count only once a primary has confirmed the clock; a primary that has told fewer than three reports is probed for that. Left: until two answers of a primary came, the start of a listed endpoint is placed by the wall clock (slow start). Also: the last bytes of a long answer are written once the core knows its connection is free. Databases::finish wrote them first; Link::run does now.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod cluster_clock;
 mod words;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -300,6 +301,7 @@
                 told.extend(self.on_reply(now, conn, reply, reusable, effects));
             }
             Event::Routers(count) => told.push(Told::Routers(count)),
+            Event::ClockCorrected(by) => told.push(Told::ClockCorrected(by)),
             Event::Shares(shares) => {
                 if let Some(Err(what)) = self.door.as_mut().map(|door| door.set_shares(&shares)) {
                     effects.push(Effect::Note(Note::Shares(what)));
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -164,6 +164,8 @@
         reply: Reply,
         reusable: bool,
     },
+    /// Unix times that were placed on this process's clock before lie so much later than was taken (earlier if negative).
+    ClockCorrected(Span),
     /// So many gateways share the members now.
     Routers(u32),
     /// Other shares of the tenants, where requests wait at a door.
--- /dev/null
+++ b/crates/core/tests/cluster_clock.rs
@@ -0,0 +1,74 @@
+//! The offset between the cluster's clock and this process's: corrected by what endpoints tell, and by nothing else.
+
+use rstest::rstest;
+use valehatch_core::cluster_clock::{ClusterClock, Told};
+use valehatch_policy::{Span, Time};
+
+/// Where the cluster's clock really stands.
+const TRUE_OFFSET: i64 = 1_767_225_600_000_000;
+const HOUR: i64 = 3_600_000_000;
+
+fn ms(n: i64) -> i64 {
+    Span::from_millis(n).0
+}
+
+/// Observations of a kind, each `age_ms` old when it is told, over exchanges of 4 ms.
+fn observe(clock: &mut ClusterClock, told: Told, age_ms: i64, times: i64) {
+    for n in 0..times {
+        let asked = Time(ms(1_000 + 50 * n));
+        let came = asked + Span(ms(4));
+        clock.observe(TRUE_OFFSET + asked.0 + ms(2) - ms(age_ms), asked, came, told);
+    }
+}
+
+#[rstest]
+fn primary_answers_correct_any_error(
+    #[values(-HOUR, -2_000_000, -700_000, 0, 700_000, 2_000_000, HOUR)] off: i64,
+) {
+    let mut clock = ClusterClock::new(TRUE_OFFSET + off);
+    observe(&mut clock, Told::PrimaryAnswer, 0, 3);
+    assert!(clock.is_verified());
+    assert!((clock.offset() - TRUE_OFFSET).abs() <= ms(5), "off by {} us", clock.offset() - TRUE_OFFSET);
+}
+
+/// Data is never taken to be newer than it is by more than a report's age.
+#[rstest]
+fn primary_reports_correct_errors_beyond_their_age(
+    #[values(-HOUR, -2_000_000, 2_000_000, HOUR)] off: i64,
+    #[values(0, 100, 250)] age_ms: i64,
+) {
+    let mut clock = ClusterClock::new(TRUE_OFFSET + off);
+    observe(&mut clock, Told::PrimaryReport, age_ms, 4);
+    assert!(clock.is_verified());
+    let left = clock.offset() - TRUE_OFFSET;
+    assert!((-ms(age_ms + 3)..=ms(255)).contains(&left), "off by {left} us");
+}
+
+#[test]
+fn a_right_wall_clock_stays_as_it_is() {
+    let mut clock = ClusterClock::new(TRUE_OFFSET);
+    observe(&mut clock, Told::PrimaryReport, 250, 4);
+    observe(&mut clock, Told::PrimaryAnswer, 0, 4);
+    observe(&mut clock, Told::Replica, 5_000, 4);
+    assert_eq!(clock.offset(), TRUE_OFFSET);
+}
+
+#[rstest]
+fn one_spoilt_time_moves_nothing(#[values(-HOUR, HOUR, i64::MIN / 2, i64::MAX / 2)] off: i64) {
+    let mut clock = ClusterClock::new(TRUE_OFFSET);
+    observe(&mut clock, Told::PrimaryAnswer, 0, 3);
+    let moved = clock.observe(TRUE_OFFSET + off, Time(ms(5_000)), Time(ms(5_004)), Told::PrimaryAnswer);
+    assert_eq!((moved, clock.offset()), (None, TRUE_OFFSET));
+}
+
+/// A replica's position is behind by any time: it can show that this clock is behind, never that it is ahead.
+#[test]
+fn replicas_that_lag_do_not_set_the_clock_back() {
+    let mut clock = ClusterClock::new(TRUE_OFFSET);
+    observe(&mut clock, Told::Replica, 60_000, 8);
+    assert_eq!(clock.offset(), TRUE_OFFSET);
+    assert!(!clock.is_verified());
+    let mut clock = ClusterClock::new(TRUE_OFFSET - HOUR);
+    observe(&mut clock, Told::Replica, 100, 3);
+    assert!(clock.offset() > TRUE_OFFSET - ms(110));
+}
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -107,7 +107,8 @@
     let places = Places::new(clock, platform_limits(sockets));
     let upstream = Servers::new(databases, inbox.0.clone(), clock, timeout, Arc::clone(&places));
     let figures = mgmt.map(|_| told.figures(0));
-    let upstream = Box::new(upstream.counting(figures.clone()));
+    let verifies = site.settings.checks == valehatch_policy::Checks::Off;
+    let upstream = Box::new(upstream.counting(figures.clone()).verifying(verifies));
     // What a budget allows is its weight: the platform tells no shares.
     let shares = site.settings.tenants.iter().map(|t| t.allowance).collect::<Vec<_>>();
     let all: f64 = shares.iter().sum::<f64>().max(1e-9);
--- a/crates/net/src/servers.rs
+++ b/crates/net/src/servers.rs
@@ -12,14 +12,20 @@
 use crossbeam_channel::{Sender, bounded};
 use socket2::SockRef;
 use valehatch_accounts::Figures;
-use valehatch_policy::{Outcome, Time};
+use valehatch_policy::{Outcome, Role, Span, Time};
 
 use crate::Clock;
 use crate::clients::{BUFFER, Passage};
 use crate::lock;
 use crate::places::{Member, Places};
+use valehatch_core::cluster_clock::Told;
 use valehatch_core::{ConnId, Event, Job, Reply};
 
+/// How far ahead of now a time that an endpoint tells may lie: it is rounded, and clocks drift.
+const TIME_ROUNDING: Span = Span::from_millis(5);
+/// How far back a position may lie.
+const OLDEST_POSITION: Span = Span::from_millis(86_400_000);
+
 /// Opens the way of an answer to its client. What is not finished on it is cut when the last hold on it goes.
 pub type Begin<'a> = &'a dyn Fn() -> Option<Arc<Passage>>;
 
@@ -30,8 +36,8 @@
     /// The bytes of a job; `left` is how long the gateway will wait, in milliseconds.
     fn request(&self, job: &Job, left_ms: i64) -> Vec<u8>;
     /// Reads the whole answer to what was sent; the flag tells whether the connection can carry another request. One that
-    /// is too long to be held goes the way that `begin` opens, and the rest of it nowhere else: `None` if nobody waits
-    /// for it any more.
+    /// is too long to be held goes the way that `begin` opens (`None` if nobody waits for it any more) but for its last
+    /// bytes, which are the reply's body and are written once the core knows that the connection is free.
     fn answer(&self, stream: &TcpStream, job: &Job, sent: &[u8], begin: Begin) -> (Reply, bool);
 }
 
@@ -74,6 +80,8 @@
     events: Sender<Event>,
     clock: Clock,
     connect_timeout: Duration,
+    /// Positions count only once primaries have confirmed this machine's clock.
+    verifies: bool,
     figures: Option<Arc<Figures>>,
     places: Arc<Places>,
     handles: HashMap<ConnId, Arc<Link>>,
@@ -88,7 +96,16 @@
         places: Arc<Places>,
     ) -> Self {
         let (figures, handles) = (None, HashMap::new());
-        Self { protocol, events, clock, connect_timeout: timeout, figures, places, handles }
+        let verifies = false;
+        Self { protocol, events, clock, connect_timeout: timeout, verifies, figures, places, handles }
+    }
+
+    /// Positions count only once primaries have confirmed this machine's clock: where endpoints do not check the age of their
+    /// own data, nobody else would notice that it is taken for newer than it is.
+    #[must_use]
+    pub const fn verifying(mut self, verifies: bool) -> Self {
+        self.verifies = verifies;
+        self
     }
 
     /// Counts attempts there whose last byte was written.
@@ -109,6 +126,7 @@
             events: self.events.clone(),
             clock: self.clock,
             connect_timeout: self.connect_timeout,
+            verifies: self.verifies,
             figures: self.figures.clone(),
             places: Arc::clone(&self.places),
             line: Mutex::default(),
@@ -157,6 +175,7 @@
     events: Sender<Event>,
     clock: Clock,
     connect_timeout: Duration,
+    verifies: bool,
     figures: Option<Arc<Figures>>,
     places: Arc<Places>,
     line: Mutex<Line>,
@@ -175,7 +194,7 @@
         };
         // An answer that breaks off cuts its client off only once the core has been told why.
         let way = RefCell::new(None);
-        let (reply, reusable) = match stream {
+        let (mut reply, reusable) = match stream {
             Err(outcome) => (Reply::bare(outcome), false),
             Ok(stream) => {
                 let begin = || way.borrow_mut().insert(self.begin(&stream)?).clone().into();
@@ -187,7 +206,14 @@
         if !reusable {
             lock(&self.line).stream = None;
         }
+        let streamed = way.into_inner();
+        let last = streamed.as_ref().filter(|_| reply.outcome == Outcome::Ok).and_then(|_| reply.body.take());
+        // The core hears of it first: the client may ask again as soon as it has the last byte, on this connection.
         let _ = self.events.send(Event::Ended { conn: self.conn, reply, reusable });
+        if let (Some(way), Some(last)) = (streamed, last) {
+            // That the client has left is told by its own connection.
+            let _ = way.finish(&last);
+        }
     }
 
     /// Connects and greets, within the one time limit for both, and for no longer than the job is waited for.
@@ -236,7 +262,50 @@
         if let (Job::Run { payload, .. }, Some(figures)) = (job, &self.figures) {
             figures.relayed(payload.class);
         }
-        self.protocol.answer(stream, job, &bytes, begin)
+        let (mut reply, reusable) = self.protocol.answer(stream, job, &bytes, begin);
+        self.check_times(&mut reply, now);
+        (reply, reusable)
+    }
+
+    /// Learns from the times that came with an answer how this machine's clock is off, and drops those that cannot be.
+    fn check_times(&self, reply: &mut Reply, asked: Time) {
+        let came = self.clock.now();
+        let observe = |unix: i64, told: Told| {
+            if let Some(by) = self.clock.observe(unix, asked, came, told) {
+                let error_ms = by.0 / 1_000;
+                tracing::warn!(
+                    error_ms,
+                    "the wall clock of this machine is off; endpoints' times correct it"
+                );
+                let _ = self.events.send(Event::ClockCorrected(by));
+            }
+        };
+        let answered = reply.position.map(|at| self.clock.unix(at));
+        let reported = reply.report.and_then(|report| report.position).map(|at| self.clock.unix(at));
+        if let Some(unix) = answered {
+            let primary = reply.role == Some(Role::Primary);
+            observe(unix, if primary { Told::PrimaryAnswer } else { Told::Replica });
+        }
+        if let Some(unix) = reported {
+            let primary = reply.report.is_some_and(|report| report.primary == Some(true));
+            observe(unix, if primary { Told::PrimaryReport } else { Told::Replica });
+        }
+        // Until a primary has shown that the clock is right, no data may pass for newer than it is.
+        let known = !self.verifies || self.clock.is_verified();
+        let possible = |unix: i64| {
+            let at = self.clock.place(unix);
+            let within = at <= came + TIME_ROUNDING && at >= came - OLDEST_POSITION;
+            (known && within).then_some(at.min(came))
+        };
+        reply.position = if reply.role == Some(Role::Primary) {
+            // Whatever the clock says, a primary stood there between these two.
+            answered.map(|unix| self.clock.place(unix).clamp(asked, came))
+        } else {
+            answered.and_then(possible)
+        };
+        if let Some(report) = &mut reply.report {
+            report.position = reported.and_then(possible);
+        }
     }
 
     /// Tells the core that an answer has begun which is passed on, and waits for its way.
--- a/crates/pg/src/servers.rs
+++ b/crates/pg/src/servers.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use valehatch_policy::{Outcome, Report, Role, Span, Time};
+use valehatch_policy::{Outcome, Report, Role, Time};
 
 use crate::codec as pg;
 use valehatch_core::{Job, Reply};
@@ -19,9 +19,8 @@
 const SLOW: Duration = Duration::from_secs(30);
 /// What a database may say beside one answer, or as it greets, in notices and parameters: it may go on with them for ever.
 const ASIDE: usize = 64 * 1024;
-/// How far positions may lie ahead of this machine's clock, and how far back.
-const AHEAD: Span = Span::from_millis(1_000);
-const DAY: Span = Span::from_millis(86_400_000);
+/// Positions that are told, in Unix milliseconds: none lies before 1970 or behind the year 2286.
+const POSITIONS_MS: std::ops::Range<f64> = 1.0..1e13;
 
 /// How the platform's databases are spoken to.
 pub struct Databases {
@@ -47,10 +46,9 @@
         (out != Report::default()).then_some(out)
     }
 
-    /// A position in Unix milliseconds: one that lies ahead, or a day back, is none.
+    /// A position in Unix milliseconds. Whether it can be true is judged by who knows when it was asked for.
     fn position(&self, ms: f64) -> Option<Time> {
-        let (at, now) = (place_ms(self.clock, ms), self.clock.now());
-        (at <= now + AHEAD && at >= now - DAY).then_some(at)
+        POSITIONS_MS.contains(&ms).then(|| place_ms(self.clock, ms))
     }
 
     /// Reads up to ReadyForQuery. What does not fit, in itself or in its place, spoils the answer: it may have
@@ -154,12 +152,12 @@
         if whole && reply.outcome == Outcome::Reset {
             reply.outcome = Outcome::Ok;
             match (job, way) {
-                (Job::Run { .. }, Some(way)) => {
-                    pg::put_ready(&mut body);
-                    // That the client has left is told by its own connection.
-                    let _ = way.finish(&body);
+                (Job::Run { .. }, way) => {
+                    if way.is_some() {
+                        pg::put_ready(&mut body);
+                    }
+                    reply.body = Some(body);
                 }
-                (Job::Run { .. }, None) => reply.body = Some(body),
                 (Job::Probe, _) => {
                     let text = row.and_then(|r| String::from_utf8(r).ok());
                     reply.report = text.and_then(|t| self.report(&t)).or(reply.report);
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -46,6 +46,8 @@
 const LONGEST_GAP: f64 = 8.0;
 /// Answers and lags are remembered for so long at least, however soon a member gets warm.
 const MEMORY: Span = Span::from_millis(1000);
+/// Reports of a primary from which its position is no longer asked for: they corroborate each other.
+const CLOCK_REPORTS: u32 = 3;
 /// A query that takes more than this part of the tightest bound on age is long.
 const LONG_PART: f64 = 0.7;
 
@@ -64,6 +66,8 @@
     role: Option<(Role, Time)>,
     /// Lower bound of the log position; never goes back.
     position: Option<Time>,
+    /// Reports that told a position.
+    reports: u32,
     /// How old the position was as last told (after a miss: twice what that shows), and when.
     lag: Span,
     told_at: Time,
@@ -251,6 +255,7 @@
                 Event::Streaming(id) => self.on_streaming(*id),
                 Event::Ended(end) => self.on_ended(end, actions),
                 Event::Aborted(id) => self.finish(*id, actions),
+                Event::ClockCorrected(by) => self.on_clock_corrected(*by),
                 Event::Routers(count) => self.on_routers((*count).max(1)),
                 Event::Timer(_) => self.wake_at = self.wake_at.filter(|at| *at > self.now),
                 Event::Probed { node, outcome, latency, report } => {
@@ -277,6 +282,20 @@
         (self.cfg.routers, self.served) = (count, self.served * part);
     }
 
+    /// Positions are forgotten: which were told before the correction and which after it is not known here.
+    fn on_clock_corrected(&mut self, by: Span) {
+        let now = self.now;
+        for node in self.nodes.values_mut() {
+            node.started = node.started.map(|at| at + by);
+            node.role = node.role.map(|(role, told)| (role, told.min(now)));
+            (node.position, node.lag, node.told_at, node.probed_at) = (None, Span(0), now, None);
+        }
+        self.sessions.values_mut().for_each(|at| *at = *at + by);
+        self.session_order.iter_mut().for_each(|(_, at)| *at = *at + by);
+        self.session_floor = self.session_floor.map(|at| at + by);
+        self.open.values_mut().for_each(|open| open.floor = open.floor.map(|at| at + by));
+    }
+
     fn on_list(&mut self, complete: bool, entries: &[Entry]) {
         if complete {
             let named: BTreeSet<NodeId> = entries.iter().map(|e| e.node).collect();
@@ -397,6 +416,7 @@
         if let Some(position) = report.position {
             node.position = node.position.max(Some(position));
             (node.lag, node.told_at) = (self.now - position, self.now);
+            node.reports = node.reports.saturating_add(1);
         }
         // A report's position is the earliest that its word on the role can be dated to.
         let (Some(primary), Some(at)) = (report.primary, report.position) else { return };
@@ -899,6 +919,12 @@
                 self.probe_for(drawn, need, actions);
             }
         }
+        // A primary stands at the present: its reports show whether the clock of this machine is right.
+        let unheard = |id: &NodeId| self.nodes.get(id).is_some_and(|n| n.reports < CLOCK_REPORTS);
+        let primary = self.groups.get(&group_id).and_then(|g| g.primary).filter(unheard);
+        if let (Some(_), Some(primary)) = (need, primary) {
+            self.probe(primary, actions);
+        }
         // None known: a probe on its way may tell of one, and is waited for once.
         let asked = replicas.iter().any(|n| self.nodes[n].probe_out);
         let until = probe_wait.unwrap_or(self.now + Span(1).times(2.0 * self.probe_latency) + self.cfg.tick);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -424,6 +424,9 @@
     /// its limits (never below two attempts at a node) and of what it takes to be its share of the nodes' work; where it is
     /// fewer, both grow by answers.
     Routers(u32),
+    /// Times of the cluster's clock that came in before (positions, commits, starts of nodes) lie so much later than they
+    /// were taken to, or earlier if negative.
+    ClockCorrected(Span),
     /// A timer fell due.
     Timer(u64),
     /// A probe came back.
