--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod membership;
 pub mod relay;
 pub mod report;
+pub mod soak;
 pub mod stage;
 pub mod view;
 pub mod world;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -10,7 +10,7 @@
 use indicatif::ProgressBar;
 use valehatch_lab::experiment::{Experiment, Way};
 use valehatch_lab::world::{Outcome, World};
-use valehatch_lab::{load, membership, report, stage, view};
+use valehatch_lab::{load, membership, report, soak, stage, view};
 
 /// Experiments in virtual time.
 #[derive(Parser)]
@@ -50,6 +50,8 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Play real processes under schedules of faults that overlap in time, and judge what the stand-ins saw.
+    Soak(soak::command::Soak),
     /// Run one seed again and print the last steps if a rule is broken.
     Replay {
         /// The experiment, in TOML.
@@ -258,6 +260,7 @@
             print!("{}", report::table(&report::lines(&plan, way.name(), seed, &outcome)));
             Ok(())
         }),
+        Command::Soak(soak) => seeds(&soak.seeds).and_then(|seeds| soak.run(&seeds)),
         Command::List { folder } => list(&folder),
         Command::Load(load) => load.run(),
         Command::Compare { first, second } => {
--- /dev/null
+++ b/crates/lab/src/soak/agents.rs
@@ -0,0 +1,136 @@
+//! Stand-ins for discovery: each gateway has an agent of its own, reached through a proxy that holds, splits and resets.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::{Builder, sleep};
+use std::time::{Duration, Instant};
+
+use super::world::World;
+
+const STACK: usize = 128 * 1024;
+const LOOK: Duration = Duration::from_millis(2);
+/// Bytes that the proxy passes on at once while it splits.
+const PIECE: usize = 7;
+
+/// What the path between a gateway and its agent does.
+#[derive(Debug, Default)]
+pub struct AgentPath {
+    /// Bytes wait in the proxy.
+    pub held: AtomicBool,
+    /// Bytes come in small pieces.
+    pub splits: AtomicBool,
+    /// Connections up to this number are reset.
+    pub reset_below: AtomicU64,
+    connections: AtomicU64,
+}
+
+impl AgentPath {
+    /// Resets all connections that are open.
+    pub fn reset_open(&self) {
+        self.reset_below.store(self.connections.load(Ordering::SeqCst), Ordering::SeqCst);
+    }
+}
+
+/// Starts an agent that tells a gateway the list with these addresses, and a proxy before it; the proxy's address.
+///
+/// # Errors
+/// An address cannot be listened on, or there is no thread.
+pub fn start(world: &Arc<World>, path: &Arc<AgentPath>, endpoints: &[SocketAddr]) -> io::Result<SocketAddr> {
+    let agent = TcpListener::bind("127.0.0.1:0")?;
+    let agent_at = agent.local_addr()?;
+    let (shared, addresses) = (Arc::clone(world), endpoints.to_vec());
+    accept(world, agent, move |stream| drop(serve(&shared, &addresses, &stream)))?;
+    let proxy = TcpListener::bind("127.0.0.1:0")?;
+    let proxy_at = proxy.local_addr()?;
+    let (shared, path) = (Arc::clone(world), Arc::clone(path));
+    accept(world, proxy, move |stream| {
+        let number = 1 + path.connections.fetch_add(1, Ordering::SeqCst);
+        let Ok(onward) = TcpStream::connect(agent_at) else { return };
+        let (Ok(from), Ok(to)) = (stream.try_clone(), onward.try_clone()) else { return };
+        let (world, back) = (Arc::clone(&shared), Arc::clone(&path));
+        let _ = Builder::new().stack_size(STACK).spawn(move || relay(&world, &back, number, &to, &from));
+        relay(&shared, &path, number, &stream, &onward);
+    })?;
+    Ok(proxy_at)
+}
+
+fn accept(
+    world: &Arc<World>,
+    listener: TcpListener,
+    serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) -> io::Result<()> {
+    let (world, serve) = (Arc::clone(world), Arc::new(serve));
+    Builder::new().stack_size(STACK).spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            if world.is_over() {
+                return;
+            }
+            let serve = Arc::clone(&serve);
+            let _ = Builder::new().stack_size(STACK).spawn(move || serve(stream));
+        }
+    })?;
+    Ok(())
+}
+
+/// Passes bytes on in one direction until either side ends.
+fn relay(world: &World, path: &AgentPath, number: u64, from: &TcpStream, to: &TcpStream) {
+    let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
+    let mut buffer = [0; 16 * 1024];
+    loop {
+        if world.is_over() {
+            break;
+        }
+        if path.reset_below.load(Ordering::SeqCst) >= number {
+            for stream in [from, to] {
+                let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+            }
+            break;
+        }
+        let count = match { from }.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) => count,
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
+            Err(_) => break,
+        };
+        while path.held.load(Ordering::SeqCst) && !world.is_over() {
+            sleep(LOOK);
+        }
+        let piece = if path.splits.load(Ordering::SeqCst) { PIECE } else { buffer.len() };
+        if buffer[..count].chunks(piece).any(|some| { to }.write_all(some).is_err()) {
+            break;
+        }
+    }
+    let _ = from.shutdown(std::net::Shutdown::Both);
+    let _ = to.shutdown(std::net::Shutdown::Both);
+}
+
+/// Serves lists and watches.
+fn serve(world: &World, addresses: &[SocketAddr], stream: &TcpStream) -> io::Result<()> {
+    let mut from = io::BufReader::new(stream);
+    loop {
+        let mut head = vec![];
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            from.read_exact(&mut byte)?;
+            head.push(byte[0]);
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let number =
+            |name: &str| -> Option<u64> { head.split_once(name)?.1.split(['&', ' ']).next()?.parse().ok() };
+        let (since, hold) = (number("from="), Duration::from_millis(number("hold_ms=").unwrap_or(0)));
+        let until = Instant::now() + hold;
+        let news = || since.is_none_or(|since| world.version.load(Ordering::SeqCst) > since);
+        while !news() && Instant::now() < until && !world.is_over() {
+            sleep(LOOK);
+        }
+        let body = if news() {
+            world.list(addresses)
+        } else {
+            format!(r#"{{"rev":{},"all":false,"targets":[]}}"#, since.unwrap_or(0))
+        };
+        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        { stream }.write_all(text.as_bytes())?;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/endpoints.rs
@@ -0,0 +1,222 @@
+//! Stand-in databases: they serve PostgreSQL's protocol as the protocol page says, misbehave as the schedule says, and
+//! tell the oracle of each attempt when its last byte has arrived.
+
+use std::io::{self, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::{Builder, sleep};
+use std::time::{Duration, UNIX_EPOCH};
+
+use socket2::SockRef;
+
+use super::oracle::Attempt;
+use super::world::{CLASSES, World, lock, mean_work};
+use crate::members::{message, pg_message};
+
+const STACK: usize = 128 * 1024;
+const LOOK: Duration = Duration::from_millis(5);
+/// How late a connection is greeted that comes up late.
+const DIAL_DELAY: Duration = Duration::from_millis(700);
+
+/// A connection from a gateway.
+struct Exchange<'a> {
+    world: &'a World,
+    endpoint: usize,
+    gateway: usize,
+    connection: u64,
+    stream: &'a TcpStream,
+}
+
+/// Starts an endpoint's stand-in as one gateway reaches it: each has an address of its own for each endpoint, which tells
+/// who sent what. It serves until the run is over.
+///
+/// # Errors
+/// The address cannot be listened on, or there is no thread.
+pub fn start(world: &Arc<World>, endpoint: usize, gateway: usize) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let world = Arc::clone(world);
+    Builder::new().stack_size(STACK).spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            if world.is_over() {
+                return;
+            }
+            let down = world.endpoints[endpoint].down.load(Ordering::SeqCst);
+            if down {
+                reset(&stream);
+                continue;
+            }
+            let world = Arc::clone(&world);
+            let _ = Builder::new().stack_size(STACK).spawn(move || {
+                let connection = world.next();
+                let exchange = Exchange { world: &world, endpoint, gateway, connection, stream: &stream };
+                let _ = exchange.serve();
+            });
+        }
+    })?;
+    Ok(address)
+}
+
+/// Has the next close of a connection reset it.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Whether the other side has ended a connection.
+fn is_ended(stream: &TcpStream) -> bool {
+    let mut one = [std::mem::MaybeUninit::uninit()];
+    match SockRef::from(stream).recv_with_flags(&mut one, libc::MSG_PEEK | libc::MSG_DONTWAIT) {
+        Ok(more) => more == 0,
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+fn row(value: &str, tag: &str) -> Vec<u8> {
+    let length = u32::try_from(value.len()).unwrap_or(0).to_be_bytes();
+    let described = message(b'T', &[&[0, 1], &b"body\0"[..], &[0; 18]].concat());
+    let data = message(b'D', &[&[0, 1], &length[..], value.as_bytes()].concat());
+    [described, data, message(b'C', format!("{tag}\0").as_bytes())].concat()
+}
+
+/// A value of a request's comment.
+fn field<'t>(text: &'t str, name: &str) -> Option<&'t str> {
+    let comment = text.strip_prefix("/* ")?.split(" */").next()?;
+    comment.split(',').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
+impl Exchange<'_> {
+    fn serve(&self) -> io::Result<()> {
+        let state = &self.world.endpoints[self.endpoint];
+        let incarnation = state.incarnation.load(Ordering::SeqCst);
+        self.stream.set_nodelay(true)?;
+        let mut from = BufReader::new(self.stream);
+        let mut head = [0; 4];
+        from.read_exact(&mut head)?;
+        io::copy(&mut from.by_ref().take(u64::from(u32::from_be_bytes(head)) - 4), &mut io::sink())?;
+        if state.dials_late.load(Ordering::SeqCst) {
+            sleep(DIAL_DELAY);
+        }
+        self.write(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
+        // A process that ends resets all its connections.
+        self.stream.set_read_timeout(Some(LOOK))?;
+        loop {
+            if self.world.is_over() || state.incarnation.load(Ordering::SeqCst) != incarnation {
+                reset(self.stream);
+                return Ok(());
+            }
+            match self.stream.peek(&mut [0]) {
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => continue,
+                other => other?,
+            };
+            self.stream.set_read_timeout(None)?;
+            let (kind, body) = pg_message(&mut from)?;
+            self.stream.set_read_timeout(Some(LOOK))?;
+            if kind != b'Q' {
+                return Ok(());
+            }
+            let text = String::from_utf8_lossy(&body).trim_end_matches('\0').to_owned();
+            if text.starts_with("SHOW stats") {
+                self.report()?;
+            } else if !self.answer(&text, incarnation)? {
+                return Ok(());
+            }
+        }
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&mut &*self.stream).write_all(bytes)
+    }
+
+    fn position(&self) -> Duration {
+        UNIX_EPOCH.elapsed().unwrap_or_default().saturating_sub(self.world.age(self.endpoint))
+    }
+
+    fn report(&self) -> io::Result<()> {
+        if self.hangs() {
+            return Ok(());
+        }
+        let (position, primary) = (self.position().as_secs_f64(), self.world.is_primary(self.endpoint));
+        let stats = format!("x0={position:.3},x1={},util=0.1,inflight=0", u8::from(primary));
+        self.write(&[row(&stats, "SELECT 1"), message(b'Z', b"I")].concat())
+    }
+
+    fn hangs(&self) -> bool {
+        self.world.endpoints[self.endpoint].hangs.load(Ordering::SeqCst)
+    }
+
+    /// Serves a request; whether the connection goes on.
+    fn answer(&self, text: &str, incarnation: u64) -> io::Result<bool> {
+        let (world, state) = (self.world, &self.world.endpoints[self.endpoint]);
+        let id = field(text, "id").unwrap_or_default().to_owned();
+        let told_ms = field(text, "d").and_then(|d| d.parse().ok()).unwrap_or(u64::MAX / 2);
+        let class = CLASSES.iter().find(|class| field(text, "c") == Some(class.name)).unwrap_or(&CLASSES[0]);
+        let write = class.need == "mutate";
+        // Read before the oracle is told: the age that the request met.
+        let age = class.bound.map(|bound| (world.age(self.endpoint), bound));
+        let earlier_ended = self.note_out(&id);
+        let attempt = Attempt {
+            id: &id,
+            endpoint: self.endpoint,
+            gateway: self.gateway,
+            connection: self.connection,
+            told_ms,
+            work: class.work.as_secs_f64() / mean_work().as_secs_f64(),
+            age,
+            earlier_ended,
+        };
+        let now = world.now();
+        world.oracle().on_attempt(&attempt, now);
+        let over = |never_ran: bool| self.note_over(&id, never_ran);
+        sleep(class.work);
+        while self.hangs() && !is_ended(self.stream) && !world.is_over() {
+            if state.incarnation.load(Ordering::SeqCst) != incarnation {
+                break;
+            }
+            sleep(LOOK);
+        }
+        let primary = world.is_primary(self.endpoint);
+        let refused = write && !primary;
+        let tag = if write { "INSERT 0 1" } else { "SELECT 1" };
+        let answer = if refused { message(b'E', b"SERROR\0C25006\0Mreplica\0\0") } else { row(&id, tag) };
+        if state.resets.load(Ordering::SeqCst) && world.next().is_multiple_of(2) {
+            self.write(&answer[..answer.len() / 2])?;
+            over(false);
+            reset(self.stream);
+            return Ok(false);
+        }
+        if state.spoils.load(Ordering::SeqCst) && world.next().is_multiple_of(2) {
+            self.write(&[0, 0xff, 0xff, 0xff, 0xff, 1, 2, 3])?;
+            over(false);
+            return Ok(false);
+        }
+        let mode = format!("mode\0{}\0", if primary { "read-write" } else { "read-only" });
+        let mut bytes = [answer, message(b'S', mode.as_bytes())].concat();
+        if write && primary {
+            let position = format!("wal_time\0{}\0", self.position().as_millis() + 1);
+            bytes.extend(message(b'S', position.as_bytes()));
+        }
+        bytes.extend(message(b'Z', b"I"));
+        // Over before the answer leaves: what the gateway does next may arrive at once.
+        over(refused);
+        self.write(&bytes)?;
+        Ok(true)
+    }
+
+    /// Keeps this connection as the one that carries a request; whether the one before it has been ended.
+    fn note_out(&self, id: &str) -> bool {
+        let Ok(stream) = self.stream.try_clone() else { return true };
+        let before = lock(&self.world.carriers).insert(id.to_owned(), (self.connection, stream));
+        before.is_none_or(|(_, before)| is_ended(&before))
+    }
+
+    /// The attempt is over: it ended here, or its connection is about to.
+    fn note_over(&self, id: &str, never_ran: bool) {
+        let mut carriers = lock(&self.world.carriers);
+        if carriers.get(id).is_some_and(|(connection, _)| *connection == self.connection) {
+            carriers.remove(id);
+        }
+        drop(carriers);
+        self.world.oracle().on_attempt_over(id, self.connection, never_ran);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/processes.rs
@@ -0,0 +1,278 @@
+//! The gateways: real processes of the program, each with its folder, its fault switches and its agent.
+
+use std::fs::{File, OpenOptions};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use valehatch_fault_control::{FaultControl, Switch};
+
+use super::clients::connect;
+use super::oracle::Effect;
+use super::world::{CLASSES, lock, slow_start};
+use crate::members::pg_message;
+
+/// Limits of each process.
+pub const DESCRIPTORS: usize = 256;
+pub const MEMORY_MB: u64 = 48;
+/// A process that starts must answer an empty query by then.
+const READY: Duration = Duration::from_secs(10);
+
+/// When gateways were killed or down: what was asked of them then is excused.
+#[derive(Debug, Default)]
+pub struct Lifetimes {
+    killed: Mutex<Vec<(usize, Duration)>>,
+}
+
+impl Lifetimes {
+    pub fn on_killed(&self, gateway: usize, at: Duration) {
+        lock(&self.killed).push((gateway, at));
+    }
+
+    /// Whether a gateway was killed within a time, or up to a moment before it.
+    pub fn killed_between(&self, gateway: usize, from: Duration, to: Duration) -> bool {
+        let before = from.saturating_sub(Duration::from_millis(100));
+        lock(&self.killed).iter().any(|(killed, at)| *killed == gateway && (before..=to).contains(at))
+    }
+}
+
+/// One gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    pub address: SocketAddr,
+    pub control: FaultControl,
+    folder: PathBuf,
+    /// The agents it may ask, of which the configuration names one.
+    agents: [SocketAddr; 2],
+    agent: usize,
+    program: PathBuf,
+    library: PathBuf,
+    child: Option<Child>,
+    log: PathBuf,
+}
+
+/// What all gateways of a run have in common.
+#[derive(Clone, Debug)]
+pub struct Common {
+    pub program: PathBuf,
+    pub library: PathBuf,
+    pub folder: PathBuf,
+    pub gateways: usize,
+    /// Requests a second that tenants may ask of all endpoints.
+    pub allowance: f64,
+}
+
+impl Gateway {
+    /// Prepares one; it is not started.
+    ///
+    /// # Errors
+    /// Its folder cannot be made.
+    pub fn new(
+        common: &Common,
+        n: usize,
+        address: SocketAddr,
+        agents: [SocketAddr; 2],
+        known: &str,
+    ) -> io::Result<Self> {
+        let folder = common.folder.join(format!("g{n}"));
+        std::fs::create_dir_all(&folder)?;
+        let control = FaultControl::create(&folder.join("faults"))?;
+        let log = common.folder.join(format!("g{n}.log"));
+        let gateway = Self {
+            address,
+            control,
+            folder,
+            agents,
+            agent: 0,
+            program: common.program.clone(),
+            library: common.library.clone(),
+            child: None,
+            log,
+        };
+        std::fs::write(gateway.folder.join("settings"), settings(common))?;
+        std::fs::write(gateway.folder.join("known"), known)?;
+        gateway.configure(n)?;
+        Ok(gateway)
+    }
+
+    fn configure(&self, n: usize) -> io::Result<()> {
+        let settings = std::fs::read_to_string(self.folder.join("settings"))?;
+        let known = std::fs::read_to_string(self.folder.join("known"))?;
+        let (listen, discovery) = (self.address, self.agents[self.agent]);
+        let text = format!(
+            r#"{{"name":"g{n}","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be9{n:02x}","limits":{{"sockets":{DESCRIPTORS},"memory_mb":{MEMORY_MB}}},"known":{known},"settings":{settings}}}"#
+        );
+        std::fs::write(self.folder.join("config.json"), text)
+    }
+
+    fn spawn(&self) -> io::Result<Child> {
+        let log: File = OpenOptions::new().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.program);
+        command.env("BALANCER_CONFIG", self.folder.join("config.json")).env("TMPDIR", &self.folder);
+        self.control.apply(&mut command, &self.library);
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::from(log)).spawn()
+    }
+
+    /// Starts the process, over whatever ran before.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start(&mut self) -> io::Result<()> {
+        self.child = Some(self.spawn()?);
+        Ok(())
+    }
+
+    /// Starts a second process and hands back the first.
+    ///
+    /// # Errors
+    /// It cannot be started.
+    pub fn start_second(&mut self) -> io::Result<Option<Child>> {
+        let second = self.spawn()?;
+        Ok(self.child.replace(second))
+    }
+
+    /// Waits until it answers an empty query; whether it did in time.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        let end = Instant::now() + READY;
+        while Instant::now() < end {
+            if self.answers_empty_query().is_ok() {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+
+    fn answers_empty_query(&self) -> io::Result<()> {
+        use std::io::Write;
+        let mut stream = connect(self.address)?;
+        stream.write_all(&crate::members::message(b'Q', b"\0"))?;
+        while pg_message(&mut stream)?.0 != b'I' {}
+        Ok(())
+    }
+
+    /// Moves its configuration to the other agent and has it read again.
+    ///
+    /// # Errors
+    /// The file cannot be written.
+    pub fn reload(&mut self, n: usize) -> io::Result<()> {
+        self.agent = 1 - self.agent;
+        self.configure(n)?;
+        self.signal(libc::SIGHUP);
+        Ok(())
+    }
+
+    pub fn signal(&self, signal: i32) {
+        self.child.iter().for_each(|child| signal_to(child, signal));
+    }
+
+    /// Kills the process, if it runs.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Takes the process out, to wait for its end.
+    pub fn take(&mut self) -> Option<Child> {
+        self.child.take()
+    }
+
+    /// How it ended, if it has by itself.
+    pub fn has_ended(&mut self) -> Option<String> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        Some(status.to_string())
+    }
+
+    /// Open descriptors and resident memory at its highest, in megabytes.
+    #[must_use]
+    pub fn usage(&self) -> Option<(usize, u64)> {
+        let id = self.child.as_ref()?.id();
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kb: u64 = peak.trim().trim_end_matches(" kB").trim().parse().ok()?;
+        Some((descriptors, kb / 1024))
+    }
+
+    /// Turns all faults of its machine off.
+    pub fn calm(&self) {
+        for switch in Switch::ALL.into_iter().filter(|switch| *switch != Switch::WallClockOffset) {
+            let _ = self.control.set(switch, 0);
+        }
+    }
+
+    /// Lines of its log that say that something is wrong with the program itself.
+    #[must_use]
+    pub fn faults_in_log(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let wrong = |line: &&str| line.contains("panicked") || line.contains("invariant violated");
+        text.lines().filter(wrong).map(str::to_owned).collect()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Sends a signal to a process of the rig's own.
+pub fn signal_to(child: &Child, signal: i32) {
+    let name = match signal {
+        libc::SIGTERM => "TERM",
+        libc::SIGHUP => "HUP",
+        libc::SIGSTOP => "STOP",
+        _ => "CONT",
+    };
+    let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+}
+
+/// The settings of all gateways, as the platform writes them.
+fn settings(common: &Common) -> String {
+    let class = |class: &super::world::Class| {
+        let (effect, window) = match class.effect {
+            Effect::Safe => ("safe", 0),
+            Effect::Keyed(window) => ("keyed", window.as_millis()),
+            Effect::Unsafe => ("unsafe", 0),
+        };
+        let deadline = class.deadline.as_millis();
+        format!(
+            r#"{{"name":"{}","effect":"{effect}","group":"cell","deadline-ms":{deadline},"slo-ms":{},"late-worth":0.3,"window-ms":{window},"worth":1.0}}"#,
+            class.name,
+            deadline / 3
+        )
+    };
+    let classes: Vec<String> = CLASSES.iter().map(class).collect();
+    let needs: Vec<String> = CLASSES.iter().map(|class| format!("\"{}\"", class.need)).collect();
+    let bounds: Vec<String> =
+        CLASSES.iter().map(|class| class.bound.map_or(0, |bound| bound.as_millis()).to_string()).collect();
+    let slow = slow_start(1.0);
+    format!(
+        r#"{{"areas":["a"],"skus":["m"],"classes":[{}],"family-info":{{"needs-by-class":[{}],"staleness-bound-ms":[{}],"position-zero-ms":0.0,"role-listed":"trailing","server-checks":"off","token-mode":"kept"}},"fleet-size":{},"zone":0,"tick-ms":5.0,"membership-mode":"push","limits":{{"cancel":true,"conn-idle-ms":5000,"connect-timeout-ms":400.0,"max-attempts":6,"max-retry-after-ms":1000.0,"most-held":20000,"probing":true,"retry-after":false,"second-copies":false}},"rules":{{"ask-within-ms":10000.0,"cold-from":{},"cold-ms":{},"tip-after-ms":{},"tip-multiple":{}}},"telemetry":{{"fields":["x0","x1","util","inflight"],"source":"on_probe"}},"tenants":[{{"name":"acme","allowance-per-s":{},"share":1.0}}],"over-share-worth":0.2}}"#,
+        classes.join(","),
+        needs.join(","),
+        bounds.join(","),
+        common.gateways,
+        slow.cold_from,
+        slow.cold.as_millis(),
+        slow.window.as_millis(),
+        slow.multiple,
+        common.allowance,
+    )
+}
+
+/// A folder for a run, empty.
+///
+/// # Errors
+/// It cannot be made.
+pub fn folder(path: &Path) -> io::Result<PathBuf> {
+    let _ = std::fs::remove_dir_all(path);
+    std::fs::create_dir_all(path)?;
+    Ok(path.to_owned())
+}
