Decide in one place what may be accepted, sent, repeated, closed or probed, and count why not

core::permission answers each question as a pure function with a reason; the reducer and the carriers of attempts ask it. What the module must never ask for (an attempt while one is out, a forbidden repeat, an endpoint that is not ready) is not done, counted apart, logged as an error with ids, and panics in debug builds. SendPermit (Permit before) says why it is denied. GET /admin/decisions shows the counts; VALEHATCH_LOG=debug traces each step of a request by its id. GET /admin/stats is unchanged: its form is the operators'.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod cluster_clock;
+pub mod permission;
 mod words;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -16,6 +17,9 @@
     Router, SettingsError, Span, Time, Why,
 };
 
+use permission::{
+    Acceptance, Denial, ProcessStage, SendPermit, Sending, may_accept, may_close, may_probe, may_send,
+};
 pub use words::*;
 
 /// After a planned stop was asked for, connections are still taken for so long: they keep coming for 0.4 s.
@@ -90,6 +94,8 @@
     last: Option<Outcome>,
     /// What the server said of the last error.
     word: Option<Vec<u8>>,
+    /// When the first attempt was sent that may have run.
+    may_have_run_since: Option<Time>,
     /// When its answer began, if that is passed on as it comes: from then on it is bound to that attempt.
     began: Option<Time>,
 }
@@ -112,7 +118,7 @@
     /// When what it carries is over.
     until: Time,
     /// Of the attempt that it carries.
-    permit: Option<Permit>,
+    permit: Option<SendPermit>,
 }
 
 /// All that a gateway knows.
@@ -261,7 +267,7 @@
                 // What was decided on before this and is still being dialled must not begin any more.
                 let barred = |(id, c): (&ConnId, &Conn)| (!self.ready.contains(&c.node)).then_some(*id);
                 for conn in self.conns.iter().filter_map(barred).collect::<Vec<_>>() {
-                    told.extend(self.call_off(now, conn, effects));
+                    told.extend(self.cancel_pending_attempt(now, conn, effects));
                 }
             }
             Event::Connected(client) => {
@@ -380,16 +386,15 @@
         effects: &mut Vec<Effect>,
     ) -> Option<Told> {
         self.count_asked(ask.tenant, now);
-        let taken = ask.name.as_ref().is_some_and(|name| self.names.contains(name));
-        let full = self.requests.len() >= self.facts.settings.limits.max_open;
-        if taken || full || self.ended {
-            let why = if full { Refusal::Open } else { Refusal::Stopping };
-            let (how, answer) = if taken {
-                (Ending::Failed(Fault::Named), Answer::Failed(Failure::Named))
-            } else {
-                let after = if self.left { AT_ONCE } else { self.facts.come_back(ask.class) };
-                (Ending::Refused(why), Answer::Refused { after, crowded: false })
-            };
+        let asked = Acceptance {
+            stage: self.stage(),
+            name_is_open: ask.name.as_ref().is_some_and(|name| self.names.contains(name)),
+            open: self.requests.len(),
+            most_open: self.facts.settings.limits.max_open,
+        };
+        if let Err(why) = may_accept(&asked) {
+            self.facts.decisions.on_denied(why);
+            let (how, answer) = self.turned_away(why, ask.class);
             self.record_unheld(ask.class, ask.tenant, ask.group, how, effects);
             effects.push(Effect::Answer { client, ticket, answer });
             return None;
@@ -421,6 +426,7 @@
                 out: None,
                 last: None,
                 word: None,
+                may_have_run_since: None,
                 began: None,
             },
         );
@@ -444,6 +450,30 @@
         None
     }
 
+    /// Where the process stands.
+    const fn stage(&self) -> ProcessStage {
+        if self.ended {
+            ProcessStage::Stopping
+        } else if self.stopped {
+            ProcessStage::Closing
+        } else if self.stopping || self.left {
+            ProcessStage::Draining
+        } else {
+            ProcessStage::Serving
+        }
+    }
+
+    /// The final answer of a request that is not accepted.
+    fn turned_away(&self, why: Denial, class: usize) -> (Ending, Answer) {
+        let refused = match why {
+            Denial::DuplicateName => return (Ending::Failed(Fault::Named), Answer::Failed(Failure::Named)),
+            Denial::TooManyOpen => Refusal::Open,
+            _ => Refusal::Stopping,
+        };
+        let after = if self.left { AT_ONCE } else { self.facts.come_back(class) };
+        (Ending::Refused(refused), Answer::Refused { after, crowded: false })
+    }
+
     /// Lets in what the door says, and refuses what it does not let in.
     fn act_on_verdicts(&mut self, now: Time, told: &mut Vec<Told>, effects: &mut Vec<Effect>) {
         while !self.verdicts.is_empty() {
@@ -573,11 +603,16 @@
             }
             Use::Attempt(request, attempt, sent) => {
                 self.attempts.remove(&(request, attempt));
+                if self.facts.traced {
+                    self.trace(request, Step::Ended { attempt, outcome: reply.outcome }, effects);
+                }
                 // Of an answer that was passed on the beginning is timed: its client had the rest as it could take it.
                 let began = self.requests.get(&request).and_then(|held| held.began);
                 let at = began.unwrap_or(now);
                 if let Some(held) = self.requests.get_mut(&request) {
                     held.note_try(reply.outcome, at);
+                    let may_have_run = !reply.outcome.never_ran();
+                    held.may_have_run_since = held.may_have_run_since.or(may_have_run.then_some(sent));
                 }
                 let closed = match self.requests.get_mut(&request) {
                     None => true,
@@ -672,7 +707,7 @@
                 if self.ended {
                     effects.push(Effect::CloseClients);
                 } else {
-                    let idle = self.clients.iter().filter(|(_, c)| c.open.is_empty());
+                    let idle = self.clients.iter().filter(|(_, c)| may_close(c.open.len()).is_ok());
                     effects.extend(idle.map(|(id, _)| Effect::CloseClient(*id)));
                 }
                 self.due.insert((now + CLOSE_EACH, Due::Stop));
@@ -751,6 +786,11 @@
                 }
             }
             Action::Probe { node } => {
+                if let Err(why) = may_probe(self.ready.contains(&node)) {
+                    self.facts.decisions.on_denied(why);
+                    let (outcome, latency) = (Outcome::Moot, Span(0));
+                    return self.pending.push(Told::Probed { node, outcome, latency, report: None });
+                }
                 let took = self.take_conn(now, node, Use::Probe(now), effects);
                 let Some(conn) = took else {
                     let latency = Span(0);
@@ -776,21 +816,41 @@
         begin_by: Option<Time>,
         effects: &mut Vec<Effect>,
     ) {
-        let limit = self.facts.settings.limits.max_attempts;
+        let Some(held) = self.requests.get(&request) else {
+            return self.facts.decisions.on_denied(Denial::RequestOver);
+        };
+        let until = timeout.map_or(held.deadline, |t| held.deadline.min(now + t));
+        let asked = Sending {
+            now,
+            until,
+            streaming: held.began.is_some(),
+            attempts_out: self.attempts.range((request, 0)..=(request, u32::MAX)).count(),
+            attempts: held.attempts,
+            most_attempts: self.facts.settings.limits.max_attempts,
+            effect: self.facts.settings.classes[held.class].effect,
+            may_have_run_since: held.may_have_run_since,
+            // Where a removal does not bind, the module may go on with an endpoint that is no longer listed.
+            endpoint_is_ready: self.ready.contains(&node) || self.facts.settings.rules.removal_not_binding,
+        };
+        let permitted = may_send(&asked);
+        if permitted.is_ok() && asked.attempts > 0 {
+            self.facts.decisions.on_retry();
+        }
+        if let Err(why) = permitted {
+            self.on_send_denied(request, node, why, effects);
+        }
         let Some(held) = self.requests.get_mut(&request) else { return };
         let attempt = held.attempts;
         held.attempts += 1;
-        let until = timeout.map_or(held.deadline, |t| held.deadline.min(now + t));
         let payload = Arc::clone(&held.payload);
-        let moot = attempt >= limit || until <= now;
         let used = Use::Attempt(request, attempt, now);
-        let took = if moot { None } else { self.take_conn(now, node, used, effects) };
+        let took = if permitted.is_err() { None } else { self.take_conn(now, node, used, effects) };
         if let Some(held) = self.requests.get_mut(&request).filter(|_| self.facts.watched.is_some()) {
             held.first = held.first.or(Some(now));
             held.out = self.members.get(&node).map(|(name, _)| (Arc::clone(name), now));
         }
         let Some(conn) = took else {
-            let outcome = if moot { Outcome::Moot } else { Outcome::ConnectFailed };
+            let outcome = if permitted.is_err() { Outcome::Moot } else { Outcome::ConnectFailed };
             self.requests.get_mut(&request).into_iter().for_each(|held| held.note_try(outcome, now));
             return self.pending.push(Told::Ended(AttemptEnd {
                 request,
@@ -805,18 +865,53 @@
             }));
         };
         self.attempts.insert((request, attempt), conn);
+        if self.facts.traced {
+            let endpoint = self.endpoint_name(node);
+            self.trace(request, Step::Sent { attempt, endpoint, connection: conn }, effects);
+        }
         self.wait_until(conn, until);
-        let permit = Permit::new(begin_by.map_or(until, |at| at.min(until)));
+        let permit = SendPermit::new(begin_by.map_or(until, |at| at.min(until)));
         self.conns.get_mut(&conn).into_iter().for_each(|c| c.permit = Some(permit.clone()));
         effects.push(Effect::Submit { conn, job: Job::Run { payload, until, permit } });
     }
 
+    /// An attempt is not sent; that the module asked for it may be a fault of its own.
+    fn on_send_denied(&self, request: RequestId, node: NodeId, why: Denial, effects: &mut Vec<Effect>) {
+        self.facts.decisions.on_denied(why);
+        if self.facts.traced {
+            self.trace(request, Step::Denied(why), effects);
+        }
+        if why.is_violation() {
+            self.facts.decisions.on_violated(why);
+            let (request, endpoint) = (self.request_name(request), self.endpoint_name(node));
+            debug_assert!(false, "invariant violated: {}: {request} to {endpoint}", why.name());
+            effects.push(Effect::Note(Note::Violated { why, request, endpoint }));
+        }
+    }
+
+    /// A request as the log names it.
+    fn request_name(&self, id: RequestId) -> Arc<str> {
+        let name = self.requests.get(&id).and_then(|held| held.name.clone());
+        name.unwrap_or_else(|| Arc::from(format!("#{}", id.0)))
+    }
+
+    fn endpoint_name(&self, node: NodeId) -> Arc<str> {
+        self.members
+            .get(&node)
+            .map_or_else(|| Arc::from(format!("#{}", node.0)), |(name, _)| Arc::clone(name))
+    }
+
+    fn trace(&self, request: RequestId, what: Step, effects: &mut Vec<Effect>) {
+        effects.push(Effect::Note(Note::Step { request: self.request_name(request), what }));
+    }
+
     /// Ends the attempt that a connection carries if nothing of it was written yet; one that has begun goes on.
-    fn call_off(&mut self, now: Time, conn: ConnId, effects: &mut Vec<Effect>) -> Option<Told> {
-        let unwritten = self.conns.get(&conn)?.permit.as_ref().is_some_and(Permit::revoke);
+    fn cancel_pending_attempt(&mut self, now: Time, conn: ConnId, effects: &mut Vec<Effect>) -> Option<Told> {
+        let unwritten = self.conns.get(&conn)?.permit.as_ref().is_some_and(SendPermit::revoke);
         if !unwritten {
             return None;
         }
+        self.facts.decisions.on_cancelled_unsent();
         self.on_reply(now, conn, Reply::bare(Outcome::Moot), false, effects)
     }
 
@@ -880,7 +975,7 @@
         held.name.iter().for_each(|name| drop(self.names.take(name)));
         let out = self.attempts.range((id, 0)..=(id, u32::MAX)).map(|(_, conn)| *conn);
         for conn in out.collect::<Vec<_>>() {
-            let end = self.call_off(now, conn, effects);
+            let end = self.cancel_pending_attempt(now, conn, effects);
             self.pending.extend(end);
         }
         Some(held)
@@ -917,6 +1012,10 @@
 
     /// What is counted and written down of a request that is over.
     fn record(&self, now: Time, mut held: Held, ending: Ending, effects: &mut Vec<Effect>) {
+        if self.facts.traced {
+            let request = held.name.clone().unwrap_or_else(|| Arc::from("unnamed"));
+            effects.push(Effect::Note(Note::Step { request, what: Step::Concluded(ending) }));
+        }
         if let Some((member, sent)) = held.out.take() {
             held.tries.push(Try { member, outcome: Outcomes::Out, took_us: micros(now - sent) });
         }
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -1,7 +1,7 @@
 //! What the core is told and what it asks for.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use valehatch_accounts::{Figures, Record, Refusal};
 use valehatch_door::{Settings as DoorSettings, Shown};
@@ -9,6 +9,8 @@
     Entry, GroupId, GroupView, NodeView, Outcome, Report, Role, SessionKey, Settings, Span, Time,
 };
 
+use crate::permission::{Decisions, Denial, SendPermit};
+
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
@@ -180,48 +182,11 @@
     Show,
 }
 
-/// Leave to write an attempt, held by the core and by whoever carries it. One uses it as the first byte is about to leave,
-/// the other takes it back when the attempt has lost its reason: its client has left, its member drains. Whoever comes
-/// first settles it, so that what was called off never begins, and what has begun is never taken for unsent.
-#[derive(Clone, Debug)]
-pub struct Permit {
-    state: Arc<AtomicU8>,
-    until: Time,
-}
-
-const OPEN: u8 = 0;
-const USED: u8 = 1;
-const REVOKED: u8 = 2;
-
-impl Permit {
-    /// Good up to this moment, that included: a dial may come up long after the attempt was decided on.
-    #[must_use]
-    pub fn new(until: Time) -> Self {
-        Self { state: Arc::new(AtomicU8::new(OPEN)), until }
-    }
-
-    /// Uses it: true if the attempt may be written now, once.
-    #[must_use]
-    pub fn take(&self, now: Time) -> bool {
-        now <= self.until && self.settle(USED)
-    }
-
-    /// Takes it back: true if nothing was written, and nothing will be.
-    #[must_use]
-    pub fn revoke(&self) -> bool {
-        self.settle(REVOKED)
-    }
-
-    fn settle(&self, state: u8) -> bool {
-        self.state.compare_exchange(OPEN, state, Ordering::AcqRel, Ordering::Acquire).is_ok()
-    }
-}
-
 /// What a connection is to carry.
 #[derive(Clone, Debug)]
 pub enum Job {
     /// A request, when the gateway stops waiting for its answer, and the leave to write it.
-    Run { payload: Arc<Payload>, until: Time, permit: Permit },
+    Run { payload: Arc<Payload>, until: Time, permit: SendPermit },
     /// The server is asked how it is.
     Probe,
 }
@@ -271,6 +236,47 @@
     ServersFull(usize),
     /// Shares that cannot be taken over, and why.
     Shares(String),
+    /// The decision module asked for what must never be done; it was not done.
+    Violated {
+        /// What forbids it.
+        why: Denial,
+        /// The request, by its client's name for it or by its number here.
+        request: Arc<str>,
+        /// The endpoint.
+        endpoint: Arc<str>,
+    },
+    /// A step of a request, where steps are traced.
+    Step {
+        /// The request, by its client's name for it or by its number here.
+        request: Arc<str>,
+        /// What became of it.
+        what: Step,
+    },
+}
+
+/// A step of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// An attempt was handed to a connection.
+    Sent {
+        /// Counted from 0.
+        attempt: u32,
+        /// The endpoint.
+        endpoint: Arc<str>,
+        /// The connection.
+        connection: ConnId,
+    },
+    /// An attempt ended.
+    Ended {
+        /// Counted from 0.
+        attempt: u32,
+        /// How.
+        outcome: Outcome,
+    },
+    /// It had its final answer, or its client left.
+    Concluded(valehatch_accounts::Ending),
+    /// Something was not done for it.
+    Denied(Denial),
 }
 
 /// What a gateway believes and carries at a moment, for those who watch it.
@@ -328,6 +334,10 @@
     /// Set where operators read figures.
     pub figures: Option<Arc<Figures>>,
     pub settings: Settings,
+    /// What was denied, and why.
+    pub decisions: Arc<Decisions>,
+    /// Steps of requests are traced.
+    pub traced: bool,
     /// Connections to servers at the most.
     pub server_conns: usize,
     pub probe_timeout: Span,
--- a/crates/core/tests/begin.rs
+++ b/crates/core/tests/begin.rs
@@ -5,8 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
+use valehatch_core::permission::{Decisions, SendPermit};
 use valehatch_core::{
-    Answer, Ask, ClientId, ConnId, Effect, Event, Facts, Job, Member, Payload, Permit, Reply, Room, State,
+    Answer, Ask, ClientId, ConnId, Effect, Event, Facts, Job, Member, Payload, Reply, Room, State,
 };
 use valehatch_policy::{
     Checks, Class, DedupScope, Effect as Rerun, Entry, GroupId, KindId, Limits, ListMode, ListedRole, Need,
@@ -67,7 +68,7 @@
     state: State,
     now: Time,
     room: Arc<AtomicUsize>,
-    permit: Permit,
+    permit: SendPermit,
     conn: ConnId,
 }
 
@@ -85,7 +86,7 @@
     Member { entry, name: format!("s-{id}").into(), address: format!("127.0.0.1:{}", 9000 + id).into() }
 }
 
-fn submitted(effects: &[Effect]) -> Option<(ConnId, Permit)> {
+fn submitted(effects: &[Effect]) -> Option<(ConnId, SendPermit)> {
     effects.iter().find_map(|effect| match effect {
         Effect::Submit { conn, job: Job::Run { permit, .. } } => Some((*conn, permit.clone())),
         _ => None,
@@ -108,6 +109,8 @@
             watched: None,
             figures: None,
             settings: settings(),
+            decisions: Arc::new(Decisions::default()),
+            traced: false,
             server_conns: 8,
             probe_timeout: ms(250),
         };
@@ -150,26 +153,26 @@
 #[test]
 fn leave_is_used_or_taken_back_once_whoever_comes_first() {
     let (now, end) = (Time(1), Time(10));
-    let permit = Permit::new(end);
-    assert!(permit.clone().take(now));
-    assert!(!permit.take(now), "once");
+    let permit = SendPermit::new(end);
+    assert!(permit.clone().try_acquire(now).is_ok());
+    assert!(permit.try_acquire(now).is_err(), "once");
     assert!(!permit.revoke(), "it has begun");
-    let permit = Permit::new(end);
+    let permit = SendPermit::new(end);
     assert!(permit.revoke());
     assert!(!permit.revoke(), "once");
-    assert!(!permit.take(now), "it must not begin any more");
-    assert!(Permit::new(end).take(end), "its last moment counts");
-    let late = Permit::new(end);
-    assert!(!late.take(Time(11)));
+    assert!(permit.try_acquire(now).is_err(), "it must not begin any more");
+    assert!(SendPermit::new(end).try_acquire(end).is_ok(), "its last moment counts");
+    let late = SendPermit::new(end);
+    assert!(late.try_acquire(Time(11)).is_err());
     assert!(late.revoke(), "nothing was written");
 }
 
 #[test]
 fn of_two_threads_one_has_its_way() {
     for _ in 0..2_000 {
-        let permit = Permit::new(Time(10));
+        let permit = SendPermit::new(Time(10));
         let other = permit.clone();
-        let took = thread::spawn(move || other.take(Time(1)));
+        let took = thread::spawn(move || other.try_acquire(Time(1)).is_ok());
         let revoked = permit.revoke();
         assert!(took.join().unwrap() != revoked);
     }
@@ -180,7 +183,7 @@
     for class in [WRITE, UNSAFE] {
         let mut scene = Scene::new(class);
         let effects = scene.turn(50, vec![Event::Disconnected(ClientId(1))]);
-        assert!(!scene.permit.take(scene.now), "it must not begin any more");
+        assert!(scene.permit.try_acquire(scene.now).is_err(), "it must not begin any more");
         assert!(closed(&effects, scene.conn));
         assert_eq!(scene.room.load(Ordering::Relaxed), 0, "its room is free");
         // Whoever carried it says so as well, late.
@@ -194,7 +197,7 @@
 #[test]
 fn what_was_written_goes_on_when_its_client_leaves() {
     let mut scene = Scene::new(UNSAFE);
-    assert!(scene.permit.take(scene.now));
+    assert!(scene.permit.try_acquire(scene.now).is_ok());
     let effects = scene.turn(50, vec![Event::Disconnected(ClientId(1))]);
     assert!(!closed(&effects, scene.conn), "it runs, and its member is not disturbed");
     assert_eq!(scene.room.load(Ordering::Relaxed), 0);
@@ -210,7 +213,7 @@
             members.push(member(1, state, false));
         }
         let effects = scene.turn(50, vec![Event::List { complete, members }]);
-        assert!(!scene.permit.take(scene.now), "{state:?}: it must not begin there any more");
+        assert!(scene.permit.try_acquire(scene.now).is_err(), "{state:?}: it must not begin there any more");
         let (conn, _) = submitted(&effects).expect("the other one has it at once");
         assert_ne!(conn, scene.conn);
     }
@@ -219,7 +222,7 @@
 #[test]
 fn what_was_written_to_a_member_that_drains_is_waited_for() {
     let mut scene = Scene::new(UNSAFE);
-    assert!(scene.permit.take(scene.now));
+    assert!(scene.permit.try_acquire(scene.now).is_ok());
     let members = vec![member(1, NodeState::Draining, false), member(2, NodeState::Ready, true)];
     let effects = scene.turn(50, vec![Event::List { complete: false, members }]);
     assert!(submitted(&effects).is_none(), "it may have run");
@@ -235,14 +238,14 @@
     let effects: Vec<Effect> = (0..50).flat_map(|_| scene.turn(50, vec![])).collect();
     let answers: Vec<_> = effects.iter().filter(|e| matches!(e, Effect::Answer { .. })).collect();
     assert!(matches!(answers[..], [Effect::Answer { answer: Answer::Refused { .. }, .. }]), "{answers:?}");
-    assert!(!scene.permit.take(scene.now));
+    assert!(scene.permit.try_acquire(scene.now).is_err());
 }
 
 #[test]
 fn what_is_out_as_the_program_is_about_to_end_is_given_up_with_its_answer() {
     // A planned stop was asked for 3 s ago; what is open 0.45 s later is answered, whatever its client would wait.
     let mut scene = Scene::asked_after(UNSAFE, vec![Event::Terminate], ms(3_000));
-    assert!(scene.permit.take(scene.now));
+    assert!(scene.permit.try_acquire(scene.now).is_ok());
     let early = scene.turn(400, vec![]);
     assert!(!closed(&early, scene.conn), "it may be answered yet");
     let effects = scene.turn(60, vec![]);
--- /dev/null
+++ b/crates/core/tests/permission.rs
@@ -0,0 +1,104 @@
+//! The one place that decides what may be done: each reason to deny, alone, and the edge beside it.
+
+use rstest::rstest;
+use valehatch_core::permission::{
+    Acceptance, Decisions, Denial, ProcessStage, SendPermit, Sending, may_accept, may_close, may_probe,
+    may_repeat, may_send,
+};
+use valehatch_policy::{DedupScope, Effect, Span, Time};
+
+const WINDOW: Span = Span::from_millis(2_000);
+const KEYED: Effect = Effect::Keyed(DedupScope::Group, WINDOW);
+
+fn sending() -> Sending {
+    Sending {
+        now: Time(1_000),
+        until: Time(1_001),
+        streaming: false,
+        attempts_out: 0,
+        attempts: 5,
+        most_attempts: 6,
+        effect: Effect::Unsafe,
+        may_have_run_since: None,
+        endpoint_is_ready: true,
+    }
+}
+
+#[rstest]
+#[case::all_well(|_: &mut Sending| {}, Ok(()))]
+#[case::streaming(|s: &mut Sending| s.streaming = true, Err(Denial::StreamBegan))]
+#[case::attempt_out(|s: &mut Sending| s.attempts_out = 1, Err(Denial::AttemptOut))]
+#[case::attempts_spent(|s: &mut Sending| s.attempts = 6, Err(Denial::AttemptsSpent))]
+#[case::deadline_over(|s: &mut Sending| s.until = s.now, Err(Denial::DeadlineOver))]
+#[case::endpoint_drains(|s: &mut Sending| s.endpoint_is_ready = false, Err(Denial::EndpointNotReady))]
+#[case::may_have_run(|s: &mut Sending| s.may_have_run_since = Some(Time(1)), Err(Denial::RepeatForbidden))]
+fn send(#[case] change: fn(&mut Sending), #[case] want: Result<(), Denial>) {
+    let mut asked = sending();
+    change(&mut asked);
+    assert_eq!(may_send(&asked), want);
+}
+
+#[rstest]
+#[case::safe(Effect::Safe, i64::MAX / 2, Ok(()))]
+#[case::inside_its_window(KEYED, WINDOW.0 - 1, Ok(()))]
+#[case::at_its_end(KEYED, WINDOW.0, Err(Denial::RepeatWindowOver))]
+#[case::keys_of_a_zone_hold_in_that_zone_only(
+    Effect::Keyed(DedupScope::Zone, WINDOW),
+    1,
+    Err(Denial::RepeatForbidden)
+)]
+#[case::not_to_be_repeated(Effect::Unsafe, 0, Err(Denial::RepeatForbidden))]
+fn repeat(#[case] effect: Effect, #[case] after: i64, #[case] want: Result<(), Denial>) {
+    let first = Time(5_000_000);
+    assert_eq!(may_repeat(effect, Some(first), first + Span(after)), want);
+    assert_eq!(may_repeat(effect, None, first + Span(after)), Ok(()), "it never ran");
+}
+
+#[rstest]
+#[case(ProcessStage::Serving, false, 9, Ok(()))]
+#[case(ProcessStage::Draining, false, 9, Ok(()))]
+#[case(ProcessStage::Closing, false, 9, Ok(()))]
+#[case(ProcessStage::Stopping, false, 9, Err(Denial::Stopping))]
+#[case(ProcessStage::Serving, true, 9, Err(Denial::DuplicateName))]
+#[case(ProcessStage::Serving, false, 10, Err(Denial::TooManyOpen))]
+fn accept(
+    #[case] stage: ProcessStage,
+    #[case] name_is_open: bool,
+    #[case] open: usize,
+    #[case] want: Result<(), Denial>,
+) {
+    assert_eq!(may_accept(&Acceptance { stage, name_is_open, open, most_open: 10 }), want);
+}
+
+#[test]
+fn probe_and_close() {
+    assert_eq!((may_probe(true), may_probe(false)), (Ok(()), Err(Denial::EndpointNotReady)));
+    assert_eq!((may_close(0), may_close(1)), (Ok(()), Err(Denial::RequestsOpen)));
+}
+
+#[test]
+fn a_permit_says_why_it_is_denied() {
+    let permit = SendPermit::new(Time(10));
+    assert_eq!(permit.try_acquire(Time(11)), Err(Denial::DeadlineOver));
+    assert_eq!(permit.try_acquire(Time(10)), Ok(()));
+    assert_eq!(permit.try_acquire(Time(10)), Err(Denial::PermitUsed));
+    let permit = SendPermit::new(Time(10));
+    assert!(permit.revoke());
+    assert_eq!(permit.try_acquire(Time(10)), Err(Denial::PermitRevoked));
+}
+
+#[test]
+fn decisions_are_counted_by_reason() {
+    let decisions = Decisions::default();
+    decisions.on_denied(Denial::Stopping);
+    decisions.on_denied(Denial::Stopping);
+    decisions.on_violated(Denial::AttemptOut);
+    decisions.on_retry();
+    let text = decisions.text();
+    for line in ["denied.stopping:2|c", "violated.attempt_out:1|c", "retried:1|c", "denied.attempt_out:0|c"] {
+        assert!(text.contains(&format!("balancer.decisions.{line}\n")), "{text}");
+    }
+    assert_eq!((decisions.violations(), text.lines().count()), (1, 2 * Denial::ALL.len() + 2));
+    // Each reason has its own place.
+    Denial::ALL.iter().enumerate().for_each(|(at, why)| assert_eq!(*why as usize, at));
+}
--- a/crates/cql/src/exchange.rs
+++ b/crates/cql/src/exchange.rs
@@ -51,7 +51,7 @@
     /// its leave already.
     pub fn may_begin(&mut self, now: Time) -> bool {
         self.permitted |= match &self.job {
-            Job::Run { permit, .. } => permit.take(now),
+            Job::Run { permit, .. } => permit.try_acquire(now).is_ok(),
             Job::Probe => true,
         };
         self.permitted
--- a/crates/cql/src/nodes.rs
+++ b/crates/cql/src/nodes.rs
@@ -578,7 +578,8 @@
     use std::sync::mpsc;
 
     use super::*;
-    use valehatch_core::{Payload, Permit};
+    use valehatch_core::Payload;
+    use valehatch_core::permission::SendPermit;
 
     #[test]
     fn a_connection_with_a_spoilt_answer_has_ended_before_the_core_hears_of_it() {
@@ -606,7 +607,7 @@
             let payload = Arc::new(Payload { bytes: query, write: true, class: 0 });
             let until = Clock::start().now() + Span::from_millis(60_000);
             nodes.connect(ConnId(n), &address);
-            nodes.submit(ConnId(n), Job::Run { payload, until, permit: Permit::new(until) });
+            nodes.submit(ConnId(n), Job::Run { payload, until, permit: SendPermit::new(until) });
             nodes.flush();
             ends.recv_timeout(patience).expect("what the core sends next cannot go out on it");
             let told = inbox.recv_timeout(patience).unwrap();
--- a/crates/cql/tests/nodes.rs
+++ b/crates/cql/tests/nodes.rs
@@ -8,7 +8,8 @@
 
 use crossbeam_channel::{Receiver, bounded};
 use valehatch_accounts::Figures;
-use valehatch_core::{ConnId, Event, Job, Payload, Permit};
+use valehatch_core::permission::SendPermit;
+use valehatch_core::{ConnId, Event, Job, Payload};
 use valehatch_cql::Prepared;
 use valehatch_cql::nodes::Nodes;
 use valehatch_net::Clock;
@@ -62,7 +63,7 @@
     for conn in (0..JOBS).map(ConnId) {
         nodes.connect(conn, &address);
         let until = clock.now() + Span::from_millis(60_000);
-        let (payload, permit) = (Arc::clone(&payload), Permit::new(until));
+        let (payload, permit) = (Arc::clone(&payload), SendPermit::new(until));
         nodes.submit(conn, Job::Run { payload, until, permit });
     }
     nodes.flush();
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -5,10 +5,11 @@
 
 use arc_swap::ArcSwapOption;
 use crossbeam_channel::{Receiver, Sender};
-use tracing::{info, warn};
+use tracing::{debug, error, info, warn};
 use valehatch_accounts::Figures;
 use valehatch_config::Site;
 use valehatch_config::operators::Door;
+use valehatch_core::permission::Decisions;
 use valehatch_core::{Effect, Event, Facts, Note, State, Watched};
 use valehatch_net::Clock;
 use valehatch_net::clients::{Clients, Limits, Serves};
@@ -110,6 +111,8 @@
     pub door: Option<valehatch_door::Settings>,
     /// What operators read, if anybody does.
     pub figures: Option<Arc<Figures>>,
+    /// What is denied, and why.
+    pub decisions: Arc<Decisions>,
     /// Where what is believed is published.
     pub board: Arc<ArcSwapOption<Board>>,
 }
@@ -130,11 +133,13 @@
     pub fn listen(parts: Parts) -> Result<Self, String> {
         let Parts { site, sockets, memory_mb, seed, listener, clock, front, inbox, watcher, door, .. } =
             parts;
-        let Parts { figures, board, .. } = parts;
+        let Parts { figures, board, decisions, .. } = parts;
         let Parts { upstream, streams, places, .. } = parts;
         let (events, inbox) = inbox;
         let facts = Facts {
             settings: site.settings,
+            decisions,
+            traced: tracing::enabled!(tracing::Level::DEBUG),
             door,
             figures: figures.clone(),
             watched: watcher.as_ref().map(|w| Arc::clone(&w.names)),
@@ -175,6 +180,10 @@
                 Effect::StopListening => clients.stop(false),
                 Effect::Note(Note::Shares(what)) => warn!("door: shares stay as they were: {what}"),
                 Effect::Note(Note::ServersFull(n)) => warn!("all {n} connections to servers are in use"),
+                Effect::Note(Note::Violated { why, request, endpoint }) => {
+                    error!(%request, %endpoint, "invariant violated: {}; it was not sent", why.name());
+                }
+                Effect::Note(Note::Step { request, what }) => debug!(%request, "{what:?}"),
                 Effect::Record(record) => {
                     if let Some(watcher) = &mut watcher {
                         crate::recovery::answered(&watcher.service, clock, &record.ending);
--- a/crates/gateway/src/management.rs
+++ b/crates/gateway/src/management.rs
@@ -7,12 +7,14 @@
 use tracing::info;
 use valehatch_accounts::{Figures, figures};
 use valehatch_config::Site;
+use valehatch_core::permission::Decisions;
 use valehatch_management::{Door, Source};
 
 /// One front: its own figures, and whether it holds a list of members.
 struct Part {
     name: Arc<str>,
     figures: Arc<Figures>,
+    decisions: Arc<Decisions>,
     listed: AtomicBool,
 }
 
@@ -28,7 +30,7 @@
     pub fn new<'a>(fronts: impl IntoIterator<Item = (Arc<str>, &'a Site)>) -> Arc<Self> {
         let part = |(name, site): (Arc<str>, &Site)| {
             let figures = Arc::new(Figures::new(&site.classes));
-            Part { name, figures, listed: AtomicBool::new(false) }
+            Part { name, figures, decisions: Arc::default(), listed: AtomicBool::new(false) }
         };
         let fronts = fronts.into_iter().map(part).collect();
         Arc::new(Self { fronts, listens: AtomicBool::new(false), stopping: AtomicBool::new(false) })
@@ -47,6 +49,11 @@
         Arc::clone(&self.fronts[front].figures)
     }
 
+    /// What a front denies, and why.
+    pub fn decisions(&self, front: usize) -> Arc<Decisions> {
+        Arc::clone(&self.fronts[front].decisions)
+    }
+
     /// A front holds a list.
     pub fn listed(&self, front: usize) {
         self.fronts[front].listed.store(true, Ordering::Relaxed);
@@ -80,6 +87,14 @@
         Ok("ready".into())
     }
 
+    fn decisions(&self) -> String {
+        let text = |front: &Part| match self.fronts.len() {
+            1 => front.decisions.text(),
+            _ => format!("front {}\n{}", front.name, front.decisions.text()),
+        };
+        self.fronts.iter().map(text).collect()
+    }
+
     fn stats(&self) -> String {
         figures::text(self.fronts.iter().map(|front| &*front.figures))
     }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -188,6 +188,7 @@
             inbox: made.inbox.clone(),
             watcher,
             figures,
+            decisions: mgmt.decisions(n),
             board: Arc::clone(&made.board),
             door: read.door.map(|door| crate::front::door(door, &front.site, read.shares.clone())),
         };
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -9,7 +9,7 @@
 use crossbeam_channel::bounded;
 use tracing::{info, warn};
 use valehatch_config::Gateway;
-use valehatch_config::operators::{Door, Log};
+use valehatch_config::operators::{Door, Level, Log};
 use valehatch_handover::Room;
 use valehatch_net::handover::Stops;
 use valehatch_net::places::Places;
@@ -33,6 +33,17 @@
     }
 }
 
+/// How much is logged: the environment's word, or what is usual.
+fn level() -> Result<Level, String> {
+    match std::env::var("VALEHATCH_LOG").as_deref() {
+        Err(_) | Ok("" | "info") => Ok(Level::Info),
+        Ok("debug") => Ok(Level::Debug),
+        Ok("warn") => Ok(Level::Warn),
+        Ok("error") => Ok(Level::Error),
+        Ok(other) => Err(format!("VALEHATCH_LOG is {other:?}, not error, warn, info or debug")),
+    }
+}
+
 fn load(path: &str) -> Result<Gateway, String> {
     Gateway::parse(&std::fs::read_to_string(path).map_err(|e| format!("config: {path}: {e}"))?)
 }
@@ -46,7 +57,7 @@
     let Gateway { name, listen, discovery, mgmt, seed, sockets, memory_mb, known, site } = load(&path)?;
     let mgmt = management(mgmt)?;
     mgmt.map_or(Ok(()), |_| site.tellable())?;
-    valehatch_net::log::init(Log::default());
+    valehatch_net::log::init(Log { level: level()?, ..Log::default() });
     let (clock, inbox) = (Clock::start(), bounded(QUEUE));
     let place = Arc::new(list::Place::new(discovery));
     let fleet = Arc::new(AtomicU32::new(site.settings.routers));
@@ -130,6 +141,7 @@
         watcher: None,
         door,
         figures,
+        decisions: told.decisions(0),
     };
     let front = Front::listen(parts)?;
     let clients = front.clients();
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -265,6 +265,8 @@
                 door: door.clone(),
                 watched: None,
                 settings: settings.clone(),
+                decisions: Arc::default(),
+                traced: false,
                 server_conns: 2_000,
                 probe_timeout: Span::from_millis(250),
             };
@@ -593,7 +595,7 @@
         let ask = match job {
             Job::Probe => None,
             Job::Run { payload, permit, .. } => {
-                if !permit.take(self.now) {
+                if permit.try_acquire(self.now).is_err() {
                     return Err(format!("gateway {n} submits what may not begin"));
                 }
                 let ask = u64::from_be_bytes(payload.bytes[..8].try_into().map_err(|_| "no ask")?);
--- a/crates/management/src/call.rs
+++ b/crates/management/src/call.rs
@@ -19,6 +19,10 @@
     Stats {
         body: bool,
     },
+    /// What was denied, and why.
+    Decisions {
+        body: bool,
+    },
     /// Nothing is given; only the status says why.
     No {
         status: u16,
@@ -52,7 +56,8 @@
         match (path, method) {
             ("/admin/health", "GET" | "HEAD") => Self::Health { body },
             ("/admin/stats", "GET" | "HEAD") => Self::Stats { body },
-            ("/admin/health" | "/admin/stats", _) => Self::No { status: 405, body },
+            ("/admin/decisions", "GET" | "HEAD") => Self::Decisions { body },
+            ("/admin/health" | "/admin/stats" | "/admin/decisions", _) => Self::No { status: 405, body },
             _ => Self::No { status: 404, body },
         }
     }
@@ -65,6 +70,7 @@
                 (status, text, body)
             }
             Self::Stats { body } => (200, source.stats(), body),
+            Self::Decisions { body } => (200, source.decisions(), body),
             Self::No { status, body } => (status, reason(status).to_lowercase(), body),
             Self::More => (408, reason(408).to_lowercase(), true),
         }));
--- a/crates/management/src/lib.rs
+++ b/crates/management/src/lib.rs
@@ -18,6 +18,8 @@
     fn health(&self) -> Result<String, String>;
     /// The figures, as text, one a line. Must not wait.
     fn stats(&self) -> String;
+    /// What was denied and why, and invariants that were violated, as text, one a line. Must not wait.
+    fn decisions(&self) -> String;
 }
 
 /// Where the door is and what it bears.
--- a/crates/net/src/servers.rs
+++ b/crates/net/src/servers.rs
@@ -250,7 +250,9 @@
         let now = self.clock.now();
         let left = match job {
             // The dial may have outlived the request, its member's time or the window for its repeat.
-            Job::Run { permit, .. } if !permit.take(now) => return (Reply::bare(Outcome::Moot), true),
+            Job::Run { permit, .. } if permit.try_acquire(now).is_err() => {
+                return (Reply::bare(Outcome::Moot), true);
+            }
             Job::Run { until, .. } => (*until - now).0 / 1000,
             Job::Probe => self.connect_timeout.as_millis() as i64,
         };
