Tell failures of this machine from those of an endpoint, and try such connects again

Change: Link::connect tries again for 0.2 s where descriptors, ports, memory or a route were lacking; then, and where no descriptor or thread is left, the outcome is LocalFailure: nothing ran, the endpoint is neither doubted nor avoided, and the request waits a moment. Request log, MIB and wire keep their forms (it counts as connect-failed there).

--- a/crates/accounts/src/record.rs
+++ b/crates/accounts/src/record.rs
@@ -109,7 +109,7 @@
             Outcome::Error => Self::Error,
             Outcome::Full => Self::Full,
             Outcome::Timeout => Self::Timeout,
-            Outcome::ConnectFailed => Self::ConnectFailed,
+            Outcome::ConnectFailed | Outcome::LocalFailure => Self::ConnectFailed,
             Outcome::Reset => Self::Reset,
             Outcome::Cancelled => Self::Cancelled,
             Outcome::Moot => Self::Moot,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -794,7 +794,7 @@
                 let took = self.take_conn(now, node, Use::Probe(now), effects);
                 let Some(conn) = took else {
                     let latency = Span(0);
-                    let outcome = Outcome::ConnectFailed;
+                    let outcome = self.no_connection(node);
                     return self.pending.push(Told::Probed { node, outcome, latency, report: None });
                 };
                 self.wait_until(conn, now + self.facts.probe_timeout);
@@ -850,7 +850,7 @@
             held.out = self.members.get(&node).map(|(name, _)| (Arc::clone(name), now));
         }
         let Some(conn) = took else {
-            let outcome = if permitted.is_err() { Outcome::Moot } else { Outcome::ConnectFailed };
+            let outcome = if permitted.is_err() { Outcome::Moot } else { self.no_connection(node) };
             self.requests.get_mut(&request).into_iter().for_each(|held| held.note_try(outcome, now));
             return self.pending.push(Told::Ended(AttemptEnd {
                 request,
@@ -915,6 +915,11 @@
         self.on_reply(now, conn, Reply::bare(Outcome::Moot), false, effects)
     }
 
+    /// What it means that there is no connection to a node: it is not listed, or this machine has none to give.
+    fn no_connection(&self, node: NodeId) -> Outcome {
+        if self.members.contains_key(&node) { Outcome::LocalFailure } else { Outcome::ConnectFailed }
+    }
+
     /// The connection to a node that was used last, or a new one while the budget of descriptors lasts.
     fn take_conn(&mut self, now: Time, node: NodeId, used: Use, effects: &mut Vec<Effect>) -> Option<ConnId> {
         let address = Arc::clone(&self.members.get(&node)?.1);
--- a/crates/net/src/servers.rs
+++ b/crates/net/src/servers.rs
@@ -7,7 +7,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::ops::Deref;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Sender, bounded};
 use socket2::SockRef;
@@ -21,6 +21,10 @@
 use valehatch_core::cluster_clock::Told;
 use valehatch_core::{ConnId, Event, Job, Reply};
 
+/// How long a connect that fails for want of something on this machine is tried again, and the first pause: each is twice
+/// the one before.
+const LOCAL_PATIENCE: Duration = Duration::from_millis(200);
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
 /// How far ahead of now a time that an endpoint tells may lie: it is rounded, and clocks drift.
 const TIME_ROUNDING: Span = Span::from_millis(5);
 /// How far back a position may lie.
@@ -141,7 +145,7 @@
         let Some(link) = self.handles.get(&conn).map(Arc::clone) else { return };
         if let Err(e) = super::spawn("server", move || link.run(&job)) {
             tracing::warn!("no thread for a connection to a server: {e}");
-            let reply = Reply::bare(Outcome::ConnectFailed);
+            let reply = Reply::bare(Outcome::LocalFailure);
             // The core's own thread: its queue must not be waited for.
             if self.events.try_send(Event::Ended { conn, reply, reusable: false }).is_err() {
                 tracing::warn!("the core's queue is full: an outcome waits for its time-out");
@@ -216,18 +220,36 @@
         }
     }
 
+    /// Connects. An error of this machine says nothing of the server, and is mostly over in a moment: it is tried again.
+    fn connect(&self, address: &SocketAddr, most: Duration) -> Result<TcpStream, Outcome> {
+        let (began, mut pause) = (Instant::now(), FIRST_PAUSE);
+        loop {
+            let left = most.saturating_sub(began.elapsed()).max(Duration::from_millis(1));
+            match TcpStream::connect_timeout(address, left) {
+                Ok(stream) => return Ok(stream),
+                Err(e) if !is_local(&e) => return Err(Outcome::ConnectFailed),
+                Err(e) if began.elapsed() + pause > most.min(LOCAL_PATIENCE) || lock(&self.line).ended => {
+                    tracing::warn!("no connection to {address}, by a fault of this machine: {e}");
+                    return Err(Outcome::LocalFailure);
+                }
+                Err(_) => std::thread::sleep(pause),
+            }
+            pause *= 2;
+        }
+    }
+
     /// Connects and greets, within the one time limit for both, and for no longer than the job is waited for.
     fn open(&self, job: &Job) -> Result<Arc<Kept>, Outcome> {
         let failed = |_: io::Error| Outcome::ConnectFailed;
         let address = self.address.ok_or(Outcome::ConnectFailed)?;
-        let place = self.places.member().ok_or(Outcome::ConnectFailed)?;
+        let place = self.places.member().ok_or(Outcome::LocalFailure)?;
         let began = self.clock.now();
         let most = match job {
             Job::Run { until, .. } => Duration::from_micros((*until - began).0.max(1_000).unsigned_abs()),
             Job::Probe => self.connect_timeout,
         };
         let most = most.min(self.connect_timeout);
-        let stream = TcpStream::connect_timeout(&address, most).map_err(failed)?;
+        let stream = self.connect(&address, most)?;
         stream.set_nodelay(true).map_err(failed)?;
         let stream = Arc::new(Kept(stream, place));
         {
@@ -326,6 +348,21 @@
     }
 }
 
+/// Whether a connect failed for want of something on this machine: descriptors, ports, memory, a route.
+fn is_local(error: &io::Error) -> bool {
+    const LOCAL: [i32; 8] = [
+        libc::EADDRNOTAVAIL,
+        libc::ENETUNREACH,
+        libc::ENETDOWN,
+        libc::EMFILE,
+        libc::ENFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+        libc::EAGAIN,
+    ];
+    error.raw_os_error().is_some_and(|number| LOCAL.contains(&number))
+}
+
 /// An idle connection on which nothing has come: neither its end nor bytes that nobody asked for.
 fn quiet(stream: &TcpStream) -> bool {
     if stream.set_nonblocking(true).is_err() {
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -747,7 +747,7 @@
             if end.outcome.from_node() {
                 node.reach.open(now);
                 node.quiet_since = Some(now);
-            } else if !matches!(end.outcome, Outcome::Moot | Outcome::Cancelled | Outcome::Timeout) {
+            } else if matches!(end.outcome, Outcome::ConnectFailed | Outcome::Reset) {
                 node.reach.doubts += 1;
             }
             node.quiet_since = node.quiet_since.filter(|_| !node.out.is_empty());
@@ -781,7 +781,9 @@
         // The end of a connection that was given up must not be overtaken by the next attempt.
         let given_up = matches!(end.outcome, Outcome::Timeout | Outcome::Cancelled | Outcome::Error);
         open.not_before = if given_up { now + Span(self.cfg.tick.0 * 2) } else { open.not_before };
-        if class.need != Need::Write {
+        if end.outcome == Outcome::LocalFailure {
+            open.not_before = now + Span(1).times(self.class_latency[open.class.0]);
+        } else if class.need != Need::Write {
             open.avoid.insert(end.node);
             let need = Self::needed(class, open.floor, sent.unwrap_or(now));
             let node = self.nodes.get_mut(&end.node).filter(|_| end.outcome == Outcome::Miss);
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -320,6 +320,8 @@
     Timeout,
     /// No connection; nothing ran.
     ConnectFailed,
+    /// This machine had no connection to give: nothing was sent, and nothing is known of the node.
+    LocalFailure,
     /// The connection dropped; it might have run.
     Reset,
     /// Called off; it may have run.
@@ -334,7 +336,7 @@
     /// The attempt certainly did not run.
     #[must_use]
     pub const fn never_ran(self) -> bool {
-        matches!(self, Self::Full | Self::ConnectFailed | Self::Moot | Self::Miss)
+        matches!(self, Self::Full | Self::ConnectFailed | Self::LocalFailure | Self::Moot | Self::Miss)
     }
     /// The node itself spoke.
     #[must_use]
