Show that a held-up gateway tells endpoints more time than clients have (failing test)

At fault: State::on_asked counts a request's time from the turn in which the core takes it (now), while it may have waited in the core's queue; answers are written on the core's thread, so that each held-up write adds to that.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -27,6 +27,10 @@
     fault(500, 1_000, FaultKind::EndpointRestarts, &[2]),
     fault(700, 1_000, FaultKind::Kill, &[0]),
 ])]
+#[case::writes_are_held_up_while_clients_pipeline(&[
+    fault(300, 3_000, FaultKind::LateWrites, &[0, 1, 2]),
+    fault(300, 3_000, FaultKind::ClientsPipeline, &[0]),
+])]
 fn overlapping_faults_break_no_invariant(#[case] faults: &[Fault]) {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_valehatch"));
     let library = valehatch_fault_control::build_library().unwrap();
