Count a request's time from when it was read, not from the turn that took it

Cause: as the failing test before showed, State::on_asked took its own turn's time for a request's arrival. Change: fronts stamp a request when its last byte was read (Ask::received); deadline and waits run from there.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -403,8 +403,10 @@
         let id = RequestId(self.next_request);
         self.clients.entry(client).or_default().open.insert(id);
         self.names.extend(ask.name.clone());
-        let time_left = Span((ask.patience - HEADSTART).0.max(1));
-        let deadline = now + time_left;
+        // It may have waited for this turn.
+        let arrived = ask.received.min(now);
+        let deadline = arrived + Span((ask.patience - HEADSTART).0.max(1));
+        let time_left = Span((deadline - now).0.max(1));
         self.due.insert((deadline + HEADSTART + HEADSTART, Due::Overdue(id)));
         self.requests.insert(
             id,
@@ -415,7 +417,7 @@
                 class: ask.class,
                 tenant: ask.tenant,
                 group: ask.group,
-                arrived: now,
+                arrived,
                 deadline,
                 payload: ask.payload,
                 _room: ask.room,
--- a/crates/core/src/words.rs
+++ b/crates/core/src/words.rs
@@ -63,7 +63,9 @@
     pub tenant: Option<usize>,
     pub group: GroupId,
     pub session: Option<SessionKey>,
-    /// How long the client will wait.
+    /// When its last byte was read.
+    pub received: Time,
+    /// How long the client will wait, from then on.
     pub patience: Span,
     pub repeat: bool,
     /// When the session's last write was committed, if it brought that.
--- a/crates/cql/src/clients.rs
+++ b/crates/cql/src/clients.rs
@@ -11,6 +11,7 @@
 use super::Prepared;
 use super::codec::{self, Fault, Frame, Reader, code, error, op, put_string};
 use valehatch_core::{Answer, Ask, Failure, Payload};
+use valehatch_net::Clock;
 use valehatch_net::clients::{Incoming, Next, Progress, Serves, Session, Talk};
 
 /// Drivers keep a pool of connections and look after them with a heartbeat every half minute or so.
@@ -21,6 +22,7 @@
     pub site: Site,
     pub contracts: Contracts,
     pub prepared: Arc<Prepared>,
+    pub clock: Clock,
 }
 
 /// A ticket: the stream, whether the request writes, and the consistency it asked for.
@@ -124,6 +126,7 @@
                 tenant: contract.tenant,
                 group: GroupId(contract.group),
                 session: None,
+                received: self.clock.now(),
                 patience: Span(class.deadline.0),
                 repeat: false,
                 wrote_at: None,
--- a/crates/fault-control/src/lib.rs
+++ b/crates/fault-control/src/lib.rs
@@ -37,7 +37,7 @@
     SyncFails,
     /// How many of a thousand calls of rename fail with EIO.
     RenameFails,
-    /// A pause before each write on a socket, in microseconds: between reading the clock and writing.
+    /// A pause before a write on a socket, in microseconds, twice a second: between reading the clock and writing.
     PauseBeforeWrite,
 }
 
--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -16,6 +16,8 @@
 
 const MICROS_PER_SECOND: i64 = 1_000_000;
 const NANOS_PER_MICRO: i64 = 1_000;
+/// How often a write is held up.
+const HOLD_UP_EACH: Duration = Duration::from_millis(500);
 
 /// Errors that concern one connection or the whole machine for a moment (accept(2), connect(2), socket(2)).
 const ACCEPT_ERRORS: [c_int; 6] =
@@ -167,6 +169,24 @@
     done
 }
 
+/// Held up before this write, and for how long: once in [`HOLD_UP_EACH`], so that no request meets two.
+fn hold_up() -> Option<Duration> {
+    static LAST: AtomicU64 = AtomicU64::new(0);
+    let pause = u64::try_from(value(Switch::PauseBeforeWrite)).ok().filter(|pause| *pause > 0)?;
+    let now = monotonic_micros();
+    let last = LAST.load(Ordering::Relaxed);
+    let due = now >= last + HOLD_UP_EACH.as_micros() as u64;
+    let first = due && LAST.compare_exchange(last, now, Ordering::Relaxed, Ordering::Relaxed).is_ok();
+    first.then(|| Duration::from_micros(pause))
+}
+
+fn monotonic_micros() -> u64 {
+    let mut time = timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the structure is the call's own.
+    unsafe { clock_gettime(libc::CLOCK_MONOTONIC, &raw mut time) };
+    u64::try_from(time.tv_sec * MICROS_PER_SECOND + time.tv_nsec / NANOS_PER_MICRO).unwrap_or(0)
+}
+
 /// See send(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, from: *const c_void, length: size_t, flags: c_int) -> ssize_t {
@@ -174,9 +194,8 @@
     if strikes(Switch::Interrupts) {
         return fail(libc::EINTR) as ssize_t;
     }
-    let pause = value(Switch::PauseBeforeWrite);
-    if pause > 0 {
-        std::thread::sleep(Duration::from_micros(pause.unsigned_abs()));
+    if let Some(pause) = hold_up() {
+        std::thread::sleep(pause);
     }
     // SAFETY: the caller's own buffer, of which no more is used than the caller allows.
     unsafe { call(fd, from, shortened(length), flags) }
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -97,7 +97,7 @@
             let known = Arc::clone(&prepared);
             let nodes = valehatch_cql::nodes::Nodes::new(known, events, clock, timeout, idle, most, figures)?;
             let contracts = front.contracts.clone();
-            let clients = Arc::new(valehatch_cql::clients::Front { site, contracts, prepared });
+            let clients = Arc::new(valehatch_cql::clients::Front { site, contracts, prepared, clock });
             Speakers { clients, servers: Box::new(nodes), places, streams }
         }
     })
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -509,6 +509,7 @@
                 tenant: Some(tenant),
                 group: GroupId(0),
                 session: None,
+                received: self.now,
                 patience,
                 repeat: false,
                 wrote_at: None,
--- a/crates/pg/src/clients.rs
+++ b/crates/pg/src/clients.rs
@@ -72,6 +72,7 @@
                 key.hash(&mut hasher);
                 SessionKey(hasher.finish())
             }),
+            received: self.clock.now(),
             // Nobody waits for longer than the class's deadline; what would is not held for it.
             patience: Span::from_millis(patience.into()).min(deadline),
             repeat: value("r") == Some("1"),
