Interrupt no transfer that does not wait, and count no descriptors of the rig's own

The process had never taken its SIGTERM up: the signal handler wakes its thread by a send that does not wait, which the shim made fail with EINTR; Linux does not. The 1,439 descriptors, at 0 MB, were the rig's own, counted between fork and exec. Both were faults of the rig, not of the program.

--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -153,11 +153,16 @@
     if length > 1 && strikes(Switch::ShortTransfers) { 1 } else { length }
 }
 
+/// Whether a transfer is interrupted: one that does not wait never is.
+fn interrupted(flags: c_int) -> bool {
+    flags & libc::MSG_DONTWAIT == 0 && strikes(Switch::Interrupts)
+}
+
 /// See recv(2).
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn recv(fd: c_int, into: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
     let call = real!(c"recv", unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t);
-    if strikes(Switch::Interrupts) {
+    if interrupted(flags) {
         return fail(libc::EINTR) as ssize_t;
     }
     // SAFETY: the caller's own buffer, of which no more is used than the caller allows.
@@ -191,7 +196,7 @@
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn send(fd: c_int, from: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     let call = real!(c"send", unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t);
-    if strikes(Switch::Interrupts) {
+    if interrupted(flags) {
         return fail(libc::EINTR) as ssize_t;
     }
     if let Some(pause) = hold_up() {
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -193,6 +193,11 @@
     #[must_use]
     pub fn usage(&self) -> Option<(usize, u64)> {
         let id = self.child.as_ref()?.id();
+        // Before it has become the program it still has the rig's own descriptors.
+        let program = std::fs::read_link(format!("/proc/{id}/exe")).ok()?;
+        if program.file_name() != self.program.file_name() {
+            return None;
+        }
         let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
