Give a mark its own line where half of one may stand before it

Cause: as the failing test before showed, Ledger::flush appended a mark to whatever stood at the end of the file of marks.

--- a/crates/accounts/src/ledger.rs
+++ b/crates/accounts/src/ledger.rs
@@ -99,6 +99,8 @@
     older: Place,
     /// Something changed since the last checkpoint.
     stale: bool,
+    /// Half a mark may stand at the end of the file of marks, of an earlier process or of this one.
+    marks_may_be_torn: bool,
     lines: Vec<u8>,
     pending: u64,
     status: Status,
@@ -167,6 +169,7 @@
             place: at.place,
             older: at.place,
             stale: true,
+            marks_may_be_torn: true,
             lines: vec![],
             pending: 0,
             notes: vec![],
@@ -269,15 +272,20 @@
                 }
             }
         }
-        let mut mark = vec![];
+        // A mark that was written half must not spoil this one: it gets a line of its own.
+        let mut mark = if self.marks_may_be_torn { b"\n".to_vec() } else { vec![] };
         Mark::put(&mut mark, (self.from, self.status.seq), &self.live, self.touched.iter());
         match folder.append(MARKS, &mark) {
             Ok(()) => {
+                self.marks_may_be_torn = false;
                 self.shown = self.live.clone();
                 self.touched.clear();
                 self.from = self.status.seq + 1;
             }
-            Err(e) => trouble = Some(format!("marks cannot be written: {e}")),
+            Err(e) => {
+                self.marks_may_be_torn = true;
+                trouble = Some(format!("marks cannot be written: {e}"));
+            }
         }
         self.status.segment = self.place.segment;
         let failed = trouble.is_some();
--- a/crates/accounts/src/replay.rs
+++ b/crates/accounts/src/replay.rs
@@ -126,6 +126,10 @@
 
     /// A line of the marks. A torn one at the end is no trouble: it was never relied on.
     pub fn mark(&mut self, line: &[u8]) {
+        // Stands before a mark that may follow half of one.
+        if line == b"\n" {
+            return;
+        }
         match Mark::read(line) {
             Ok(mark) => self.marks.push(mark),
             Err(Spoilt::Torn) => {}
