--- a/crates/core/src/cluster_clock.rs
+++ b/crates/core/src/cluster_clock.rs
@@ -9,7 +9,7 @@
 
 use valehatch_policy::{Span, Time};
 
-/// Observations that are remembered.
+/// Lower bounds that are remembered to corroborate others.
 const REMEMBERED: usize = 8;
 /// Two observations agree if the clocks that they imply lie within this: a single spoilt answer moves nothing.
 const AGREEMENT: Span = Span::from_millis(500);
@@ -19,6 +19,14 @@
 const REPORT_AGE: Span = Span::from_millis(1_000);
 /// What a report is taken to be old where the wall clock is ahead by more than any report is old.
 const REPORT_MARGIN: Span = Span::from_millis(250);
+/// By less than this the wall clock may be ahead: data is taken to be a little older than it is.
+const SMALL: Span = Span::from_millis(50);
+/// Observations of primaries that are kept, and how far they are apart.
+const SAMPLES: usize = 16;
+const SAMPLE_EACH: Span = Span::from_millis(200);
+/// Primaries show that the wall clock is ahead only by observations that agree over this time: those of a group that has no
+/// primary stand still, and so drift away from each other.
+const STEADY: Span = Span::from_millis(1_000);
 
 /// What a time that an endpoint told shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,8 +44,11 @@
 pub struct ClusterClock {
     /// Unix time in microseconds at which the monotonic clock read 0.
     offset: i64,
-    /// Lower bounds of that offset, the newest last.
+    /// Lower bounds of that offset, the newest last, and the greatest that was corroborated.
     lower_bounds: VecDeque<i64>,
+    greatest: Option<i64>,
+    /// Lower bounds that primaries told, some time apart, and when.
+    samples: VecDeque<(Time, i64)>,
     verified: bool,
 }
 
@@ -45,7 +56,8 @@
     /// Begins with what the wall clock says: Unix time in microseconds at which the monotonic clock read 0.
     #[must_use]
     pub fn new(offset: i64) -> Self {
-        Self { offset, lower_bounds: VecDeque::with_capacity(REMEMBERED), verified: false }
+        let (lower_bounds, samples) = (VecDeque::with_capacity(REMEMBERED), VecDeque::with_capacity(SAMPLES));
+        Self { offset, lower_bounds, greatest: None, samples, verified: false }
     }
 
     /// Unix time in microseconds at which the monotonic clock read 0.
@@ -64,28 +76,52 @@
     /// how much the offset grew, if it was corrected.
     pub fn observe(&mut self, unix: i64, asked: Time, came: Time, told: Told) -> Option<i64> {
         let lower = unix.checked_sub(came.0)?;
-        let agree = |other: &&i64| (lower - **other).abs() <= AGREEMENT.0;
-        let corroborated = self.lower_bounds.iter().any(|other| agree(&other));
-        let best = self.lower_bounds.iter().filter(agree).copied().fold(lower, i64::max);
-        if self.lower_bounds.len() == REMEMBERED {
-            self.lower_bounds.pop_front();
-        }
-        self.lower_bounds.push_back(lower);
-        if !corroborated {
+        if !self.corroborates(lower) {
             return None;
         }
         let before = self.offset;
+        let greatest = self.greatest.map_or(lower, |greatest| greatest.max(lower));
+        self.greatest = Some(greatest);
         if lower > self.offset + ROUNDING.0 {
             self.offset = lower;
         }
-        match told {
-            Told::PrimaryAnswer => self.offset = self.offset.min((unix - asked.0 + ROUNDING.0).max(lower)),
-            Told::PrimaryReport if self.offset > unix - asked.0 + REPORT_AGE.0 => {
-                self.offset = best + REPORT_MARGIN.0;
+        if told != Told::Replica {
+            let slack = if told == Told::PrimaryAnswer { ROUNDING } else { REPORT_AGE };
+            let upper = (unix - asked.0 + slack.0).max(greatest);
+            let steady = self.is_steady(lower, came);
+            if self.offset <= upper + SMALL.0 {
+                self.verified = true;
+            } else if steady {
+                self.verified = true;
+                self.offset = if told == Told::PrimaryAnswer { upper } else { greatest + REPORT_MARGIN.0 };
             }
-            Told::PrimaryReport | Told::Replica => {}
         }
-        self.verified |= told != Told::Replica;
         (self.offset != before).then_some(self.offset - before)
     }
+
+    /// Remembers a lower bound; whether one before it agrees.
+    fn corroborates(&mut self, lower: i64) -> bool {
+        let agrees = self.lower_bounds.iter().any(|other| agree(lower, *other));
+        if self.lower_bounds.len() == REMEMBERED {
+            self.lower_bounds.pop_front();
+        }
+        self.lower_bounds.push_back(lower);
+        agrees
+    }
+
+    /// Whether a primary's lower bound agrees with one from some time before; keeps it for those that follow.
+    fn is_steady(&mut self, lower: i64, came: Time) -> bool {
+        let steady = self.samples.iter().any(|(at, other)| came - *at >= STEADY && agree(lower, *other));
+        if self.samples.back().is_none_or(|(at, _)| came - *at >= SAMPLE_EACH) {
+            if self.samples.len() == SAMPLES {
+                self.samples.pop_front();
+            }
+            self.samples.push_back((came, lower));
+        }
+        steady
+    }
+}
+
+fn agree(one: i64, other: i64) -> bool {
+    one.abs_diff(other) <= AGREEMENT.0.unsigned_abs()
 }
