End half messages 2.5 s after they began, within the 3 s that bad clients are owed

Change: HALF 2.5 s (a client may take 2 s to write one), looked for every 0.1 s. The soak's clients that stop half-way now wait 3 s for their end, not 3.6 s.

--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -22,8 +22,8 @@
 const PATIENCE: Duration = Duration::from_millis(900);
 /// A request that was written so shortly before its connection ended crossed that end: it is asked once more.
 const CROSSING: Duration = Duration::from_millis(5);
-/// How long a client that stops in the middle of a request stays: the gateway ends it in 3 s.
-const STOPS: Duration = Duration::from_millis(3_600);
+/// How long a client that stops in the middle of a request waits for its end: so long it is owed one.
+const STOPS: Duration = Duration::from_millis(3_000);
 
 /// One client of a gateway, with connections one after another.
 pub struct Client {
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -46,7 +46,7 @@
 /// How long the program's end waits for what is still on its way from clients and to them.
 const EXITS: Duration = Duration::from_millis(50);
 /// How often a reading thread that waits looks at the time.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(100);
 
 /// A session with a client, in the protocol of one front.
 pub trait Serves: Send + Sync + 'static {
--- a/crates/net/src/clients/line.rs
+++ b/crates/net/src/clients/line.rs
@@ -23,8 +23,9 @@
 
 /// A connection that has asked nothing is closed after this long.
 const IDLE: Span = Span::from_millis(2_000);
-/// A message that has begun must be whole by then: some take 2 s to write one.
-const HALF: Span = Span::from_millis(3_000);
+/// A message that has begun must be whole by then: some take 2 s to write one, and whoever stops half-way is owed an end
+/// within 3 s of connecting.
+const HALF: Span = Span::from_millis(2_500);
 /// When whoever asked on a connection as it was ended should come back: it had only been silent.
 pub(super) const AT_ONCE: Span = Span::from_millis(1);
 /// How long, and for how many bytes, a client is listened to after the last word to it.
