--- a/crates/fault-shim/src/lib.rs
+++ b/crates/fault-shim/src/lib.rs
@@ -8,7 +8,7 @@
 
 use std::ffi::{CStr, c_char, c_int, c_void};
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU64, Ordering};
 use std::time::Duration;
 
 use libc::{clockid_t, size_t, sockaddr, socklen_t, ssize_t, timespec};
@@ -215,16 +215,21 @@
     }
 }
 
-/// See write(2). Of a file's write a part is made before it fails.
+/// See write(2). A file's write that fails makes a part first: the call says how much, and the next one that there is no
+/// space left.
 #[unsafe(no_mangle)]
 pub unsafe extern "C" fn write(fd: c_int, from: *const c_void, length: size_t) -> ssize_t {
+    static FULL: AtomicBool = AtomicBool::new(false);
     let call = real!(c"write", unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t);
-    if value(Switch::FileWriteFails) > 0 && is_file(fd) && strikes(Switch::FileWriteFails) {
-        if length < 2 {
+    if value(Switch::FileWriteFails) > 0 && is_file(fd) {
+        if FULL.swap(false, Ordering::Relaxed) || length < 2 {
             return fail(libc::ENOSPC) as ssize_t;
         }
-        // SAFETY: half of the caller's own buffer.
-        return unsafe { call(fd, from, length / 2) };
+        if strikes(Switch::FileWriteFails) {
+            FULL.store(true, Ordering::Relaxed);
+            // SAFETY: half of the caller's own buffer.
+            return unsafe { call(fd, from, length / 2) };
+        }
     }
     // SAFETY: the caller's own arguments.
     unsafe { call(fd, from, length) }
