--- a/crates/lab/src/soak/clients.rs
+++ b/crates/lab/src/soak/clients.rs
@@ -18,6 +18,8 @@
 
 /// Requests that are sent at once by a client that does not wait for answers.
 const PIPELINE: usize = 8;
+/// Time between two of a client's requests, in the mean.
+const GAP: Duration = Duration::from_millis(50);
 /// How long after its time a client gives an answer up.
 const PATIENCE: Duration = Duration::from_millis(900);
 /// A request that was written so shortly before its connection ended crossed that end: it is asked once more.
@@ -65,7 +67,7 @@
         let groups = super::world::lock(&world.primaries).len();
         let (world, lifetimes) = (Arc::clone(world), Arc::clone(lifetimes));
         let rng = Xoshiro256PlusPlus::seed_from_u64(seed);
-        Self { world, gateway, address, lifetimes, groups, gap: Duration::from_millis(100), rng }
+        Self { world, gateway, address, lifetimes, groups, gap: GAP, rng }
     }
 
     /// Asks until the run is over.
--- a/crates/lab/src/soak/command.rs
+++ b/crates/lab/src/soak/command.rs
@@ -34,7 +34,7 @@
 }
 
 /// Requests of mean work that an endpoint can do in a second, for each gateway that sends.
-const CAPACITY_FOR_EACH_GATEWAY: f64 = 4.0;
+const CAPACITY_FOR_EACH_GATEWAY: f64 = 8.0;
 
 impl Soak {
     /// Plays all; says on standard output what came of each.
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -121,6 +121,9 @@
 /// Where a cluster begins behind the one before it, and how long its faults last.
 const CLUSTER_EACH_MS: u64 = 3_000;
 const LASTS_MS: std::ops::Range<u64> = 700..2_200;
+/// Faults of a cluster mostly meet the same few gateways and endpoints.
+const SHARED_TARGETS: usize = 3;
+const MEETS_SHARED: f64 = 0.75;
 /// How far apart the beginnings of a cluster's faults are.
 const APART_MS: u64 = 600;
 
@@ -181,8 +184,14 @@
                 kinds.extend(seldom.choose(&mut rng));
             }
             let from = 500 + cluster * CLUSTER_EACH_MS;
+            let shared: [usize; SHARED_TARGETS] = std::array::from_fn(|_| rng.random_range(0..1_000));
             for kind in kinds {
-                let targets = (0..rng.random_range(1..=4)).map(|_| rng.random_range(0..1_000)).collect();
+                let mut target = || match rng.random_bool(MEETS_SHARED) {
+                    true => shared[rng.random_range(0..SHARED_TARGETS)],
+                    false => rng.random_range(0..1_000),
+                };
+                let mut targets = vec![target(), target(), target()];
+                targets.truncate(rng.random_range(1..=3));
                 let at_ms = from + rng.random_range(0..APART_MS);
                 fault.push(Fault { at_ms, for_ms: rng.random_range(LASTS_MS), kind, targets });
             }
