Keep an endpoint that drains from being sent to where removals do not bind, too

By rereading: permission's readiness was waved through for all endpoints where a removal does not bind; it is for those that are no longer listed only, since the module goes on with these. One that drains is denied there as elsewhere.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -831,8 +831,7 @@
             most_attempts: self.facts.settings.limits.max_attempts,
             effect: self.facts.settings.classes[held.class].effect,
             may_have_run_since: held.may_have_run_since,
-            // Where a removal does not bind, the module may go on with an endpoint that is no longer listed.
-            endpoint_is_ready: self.ready.contains(&node) || self.facts.settings.rules.removal_not_binding,
+            endpoint_is_ready: self.ready.contains(&node) || self.may_use_unlisted(node),
         };
         let permitted = may_send(&asked);
         if permitted.is_ok() && asked.attempts > 0 {
@@ -877,6 +876,12 @@
         effects.push(Effect::Submit { conn, job: Job::Run { payload, until, permit } });
     }
 
+    /// Where a removal does not bind, the module may go on with an endpoint that is no longer listed; never with one that
+    /// drains.
+    fn may_use_unlisted(&self, node: NodeId) -> bool {
+        self.facts.settings.rules.removal_not_binding && !self.members.contains_key(&node)
+    }
+
     /// An attempt is not sent; that the module asked for it may be a fault of its own.
     fn on_send_denied(&self, request: RequestId, node: NodeId, why: Denial, effects: &mut Vec<Effect>) {
         self.facts.decisions.on_denied(why);
