--- a/crates/gateway/tests/failing_disk.rs
+++ b/crates/gateway/tests/failing_disk.rs
@@ -23,7 +23,6 @@
 
 #[test]
 fn counters_shown_survive_a_failing_disk_and_kills() {
-    let library = valehatch_fault_control::build_library().expect("the library is built");
     let (pg, cql, agent, place) = (free_address(), free_address(), free_address(), folder());
     let state = "sync-ms = 5\ncheckpoint-ms = 20\nsegment-kb = 16\nsegments = 10000".to_owned();
     let plan = Plan { pg: databases(), cql: vec![], state, more: String::new(), user: false };
@@ -31,7 +30,10 @@
     std::fs::write(&file, plan.text(pg, cql, agent, &place.join("state"))).unwrap();
     let control = FaultControl::create(&place.join("faults")).unwrap();
     let faults = place.join("faults").display().to_string();
-    let variables = [("LD_PRELOAD", library.to_str().unwrap()), (CONTROL_FILE_VARIABLE, faults.as_str())];
+    let variables = [
+        ("LD_PRELOAD", stand::faults::library().to_str().unwrap()),
+        (CONTROL_FILE_VARIABLE, faults.as_str()),
+    ];
     let set = |rate: i64| DISK.iter().for_each(|switch| control.set(*switch, rate).unwrap());
     let mut shown = Walk::default();
     let mut random = 17_u64;
--- a/crates/gateway/tests/stand/mod.rs
+++ b/crates/gateway/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod cql;
+pub mod faults;
 pub mod manager;
 pub mod script;
 pub mod watched;
--- a/crates/gateway/tests/system_calls.rs
+++ b/crates/gateway/tests/system_calls.rs
@@ -3,44 +3,13 @@
 
 mod stand;
 
-use std::path::PathBuf;
-use std::sync::Arc;
-use std::sync::OnceLock;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use stand::faults::faulty;
 use stand::*;
-use valehatch_fault_control::{FaultControl, Switch};
-
-fn library() -> &'static PathBuf {
-    static BUILT: OnceLock<PathBuf> = OnceLock::new();
-    BUILT.get_or_init(|| valehatch_fault_control::build_library().expect("the library is built"))
-}
-
-struct Faulty {
-    address: std::net::SocketAddr,
-    control: FaultControl,
-    _program: Program,
-    _discovery: Arc<Discovery>,
-}
-
-/// A gateway on a machine whose calls fail as the control says.
-fn faulty(members: &str) -> Faulty {
-    let (discovery_at, discovery) = Discovery::start(members.to_owned());
-    let (address, place) = (free_address(), folder());
-    let path = place.join("config.json");
-    std::fs::write(&path, config(address, discovery_at, members, 15_000)).unwrap();
-    let control = FaultControl::create(&place.join("faults")).unwrap();
-    let faults = place.join("faults").display().to_string();
-    let variables = [
-        ("LD_PRELOAD", library().to_str().unwrap()),
-        (valehatch_fault_control::CONTROL_FILE_VARIABLE, faults.as_str()),
-    ];
-    let program = Program::begin(&[], Some(&path), &variables);
-    until("the gateway listens", || std::net::TcpStream::connect(address).is_ok());
-    Faulty { address, control, _program: program, _discovery: discovery }
-}
+use valehatch_fault_control::Switch;
 
 fn served(client: &mut Client, id: u32) -> bool {
     client.ask(&read_of(id, 4_000)) == Answer::Value(format!("x{id}"))
@@ -50,7 +19,7 @@
 #[rstest]
 fn accept_fails_now_and_then_clients_are_served_at_once(#[values(200, 500)] in_a_thousand: i64) {
     let (at, _) = database("read-write", |_, query| Does::Say(echo_of(query)));
-    let gateway = faulty(&target("s-00000001", at, "read-write", "active"));
+    let gateway = faulty(&target("s-00000001", at, "read-write", "active"), |text| text, None);
     gateway.control.set(Switch::AcceptFails, in_a_thousand).unwrap();
     let began = Instant::now();
     for id in 1..=300 {
@@ -69,7 +38,7 @@
     // Each answer ends its connection, so that each request needs a new one.
     let (at, seen) =
         database("read-write", |_, query| Does::Cut([echo_of(query), mode("read-write"), ready()].concat()));
-    let gateway = faulty(&target("s-00000001", at, "read-write", "active"));
+    let gateway = faulty(&target("s-00000001", at, "read-write", "active"), |text| text, None);
     let mut client = Client::connect(gateway.address);
     (1..=5).for_each(|id| assert!(served(&mut client, id), "all is well"));
     gateway.control.set(switch, 1_000).unwrap();
--- a/crates/gateway/tests/wall_clock.rs
+++ b/crates/gateway/tests/wall_clock.rs
@@ -3,53 +3,26 @@
 
 mod stand;
 
-use std::path::PathBuf;
-use std::sync::OnceLock;
 use std::time::{Duration, Instant, UNIX_EPOCH};
 
 use rstest::rstest;
+use stand::faults::{Faulty, faulty};
 use stand::*;
-use valehatch_fault_control::{FaultControl, Switch};
+use valehatch_fault_control::Switch;
 
 const SECOND: i64 = 1_000_000;
 /// How old the data of a bounded read may be, and how far the replica is behind where it is too far.
 const BOUND: Duration = Duration::from_millis(500);
 const BEHIND: Duration = Duration::from_millis(1_200);
 
-fn library() -> &'static PathBuf {
-    static BUILT: OnceLock<PathBuf> = OnceLock::new();
-    BUILT.get_or_init(|| valehatch_fault_control::build_library().expect("the library is built"))
-}
-
-struct Skewed {
-    address: std::net::SocketAddr,
-    control: FaultControl,
-    _program: Program,
-    _discovery: std::sync::Arc<Discovery>,
-}
-
 /// A gateway of a site where endpoints check nothing themselves, on a machine whose wall clock is off by so much.
-fn skewed(members: &str, offset: i64) -> Skewed {
-    let (discovery_at, discovery) = Discovery::start(members.to_owned());
-    let (address, place) = (free_address(), folder());
-    let text = config(address, discovery_at, members, 15_000);
-    let text = text.replace(
-        r#""needs-by-class":["eventual","#,
-        r#""staleness-bound-ms":[500,0,0],"needs-by-class":["lag_bound","#,
-    );
-    let text = text.replace(r#""server-checks":"await","catch-up-wait-ms":20.0"#, r#""server-checks":"off""#);
-    let path = place.join("config.json");
-    std::fs::write(&path, text).unwrap();
-    let control = FaultControl::create(&place.join("faults")).unwrap();
-    control.set(Switch::WallClockOffset, offset).unwrap();
-    let variables = [
-        ("LD_PRELOAD", library().to_str().unwrap().to_owned()),
-        (valehatch_fault_control::CONTROL_FILE_VARIABLE, place.join("faults").display().to_string()),
-    ];
-    let variables: Vec<_> = variables.iter().map(|(name, value)| (*name, value.as_str())).collect();
-    let program = Program::begin(&[], Some(&path), &variables);
-    until("the gateway listens", || std::net::TcpStream::connect(address).is_ok());
-    Skewed { address, control, _program: program, _discovery: discovery }
+fn skewed(members: &str, offset: i64) -> Faulty {
+    let edit = |text: String| {
+        let bounded = r#""staleness-bound-ms":[500,0,0],"needs-by-class":["lag_bound","#;
+        text.replace(r#""needs-by-class":["eventual","#, bounded)
+            .replace(r#""server-checks":"await","catch-up-wait-ms":20.0"#, r#""server-checks":"off""#)
+    };
+    faulty(members, edit, Some((Switch::WallClockOffset, offset)))
 }
 
 /// What an endpoint reports that is so far behind.
@@ -95,7 +68,7 @@
 }
 
 /// Asks until a moment, or until the replica has served so many; how many it has.
-fn served_by_replica(gateway: &Skewed, group: &Group, enough: usize, wait: Duration) -> usize {
+fn served_by_replica(gateway: &Faulty, group: &Group, enough: usize, wait: Duration) -> usize {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(1);
     let mut client = Client::connect(gateway.address);
     let (before, end) = (group.replica.count(), Instant::now() + wait);
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -5,6 +5,8 @@
 use std::thread::Builder;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use crate::load::Front;
 
 const STACK: usize = 128 * 1024;
@@ -67,24 +69,17 @@
     let ready = message(b'Z', b"I");
     let mode = format!("mode\0{}\0", if primary { "read-write" } else { "read-only" });
     (&mut &*stream).write_all(&[message(b'R', &[0; 4]), ready.clone()].concat())?;
-    let described = message(b'T', &[&[0, 1], &b"body\0"[..], &[0; 18]].concat());
-    let row = |value: &str| {
-        let length = u32::try_from(value.len()).unwrap_or(0).to_be_bytes();
-        [
-            described.clone(),
-            message(b'D', &[&[0, 1], &length[..], value.as_bytes()].concat()),
-            message(b'C', b"SELECT 1\0"),
-        ]
-        .concat()
-    };
-    let answer = [row("pitch 7"), message(b'S', mode.as_bytes()), ready.clone()].concat();
+    let answer = [row("pitch 7", "SELECT 1"), message(b'S', mode.as_bytes()), ready.clone()].concat();
     loop {
         let (kind, body) = pg_message(&mut from)?;
         let bytes = match kind {
             b'Q' if body.starts_with(b"SHOW stats") => {
                 let now = std::time::UNIX_EPOCH.elapsed().map_or(0.0, |d| d.as_secs_f64());
-                [row(&format!("x0={now},x1={},util=0.1,inflight=0", u8::from(primary))), ready.clone()]
-                    .concat()
+                [
+                    row(&format!("x0={now},x1={},util=0.1,inflight=0", u8::from(primary)), "SELECT 1"),
+                    ready.clone(),
+                ]
+                .concat()
             }
             b'Q' => answer.clone(),
             _ => return Ok(()),
@@ -107,6 +102,34 @@
     Ok((head[0], body))
 }
 
+/// Whether the other side has ended a connection: it has been closed, or torn down.
+pub(crate) fn is_ended(stream: &TcpStream) -> bool {
+    let mut one = [std::mem::MaybeUninit::uninit()];
+    match SockRef::from(stream).recv_with_flags(&mut one, libc::MSG_PEEK | libc::MSG_DONTWAIT) {
+        Ok(more) => more == 0,
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+/// A result of one row and one column.
+pub(crate) fn row(value: &str, tag: &str) -> Vec<u8> {
+    let length = u32::try_from(value.len()).unwrap_or(0).to_be_bytes();
+    let described = message(b'T', &[&[0, 1], &b"body\0"[..], &[0; 18]].concat());
+    let data = message(b'D', &[&[0, 1], &length[..], value.as_bytes()].concat());
+    [described, data, message(b'C', format!("{tag}\0").as_bytes())].concat()
+}
+
+/// The head of an HTTP request.
+pub(crate) fn http_head(from: &mut impl Read) -> io::Result<String> {
+    let mut head = vec![];
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        from.read_exact(&mut byte)?;
+        head.push(byte[0]);
+    }
+    Ok(String::from_utf8_lossy(&head).into_owned())
+}
+
 /// A client's connection.
 pub struct Client {
     front: Front,
--- a/crates/lab/src/soak/agents.rs
+++ b/crates/lab/src/soak/agents.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::world::World;
+use crate::members::http_head;
 
 const STACK: usize = 128 * 1024;
 const LOOK: Duration = Duration::from_millis(2);
@@ -110,13 +111,7 @@
 fn serve(world: &World, addresses: &[SocketAddr], stream: &TcpStream) -> io::Result<()> {
     let mut from = io::BufReader::new(stream);
     loop {
-        let mut head = vec![];
-        while !head.ends_with(b"\r\n\r\n") {
-            let mut byte = [0];
-            from.read_exact(&mut byte)?;
-            head.push(byte[0]);
-        }
-        let head = String::from_utf8_lossy(&head).into_owned();
+        let head = http_head(&mut from)?;
         let number =
             |name: &str| -> Option<u64> { head.split_once(name)?.1.split(['&', ' ']).next()?.parse().ok() };
         let (since, hold) = (number("from="), Duration::from_millis(number("hold_ms=").unwrap_or(0)));
--- a/crates/lab/src/soak/endpoints.rs
+++ b/crates/lab/src/soak/endpoints.rs
@@ -12,7 +12,7 @@
 
 use super::oracle::Attempt;
 use super::world::{CLASSES, World, lock, mean_work};
-use crate::members::{message, pg_message};
+use crate::members::{is_ended, message, pg_message, row};
 
 const STACK: usize = 128 * 1024;
 const LOOK: Duration = Duration::from_millis(5);
@@ -63,22 +63,6 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
-/// Whether the other side has ended a connection.
-fn is_ended(stream: &TcpStream) -> bool {
-    let mut one = [std::mem::MaybeUninit::uninit()];
-    match SockRef::from(stream).recv_with_flags(&mut one, libc::MSG_PEEK | libc::MSG_DONTWAIT) {
-        Ok(more) => more == 0,
-        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-    }
-}
-
-fn row(value: &str, tag: &str) -> Vec<u8> {
-    let length = u32::try_from(value.len()).unwrap_or(0).to_be_bytes();
-    let described = message(b'T', &[&[0, 1], &b"body\0"[..], &[0; 18]].concat());
-    let data = message(b'D', &[&[0, 1], &length[..], value.as_bytes()].concat());
-    [described, data, message(b'C', format!("{tag}\0").as_bytes())].concat()
-}
-
 /// A value of a request's comment.
 fn field<'t>(text: &'t str, name: &str) -> Option<&'t str> {
     let comment = text.strip_prefix("/* ")?.split(" */").next()?;
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -14,10 +14,9 @@
 use rand::{Rng, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde::{Deserialize, Serialize};
-use socket2::SockRef;
 
 use crate::load::Front;
-use crate::members::{Client, message, pg_message};
+use crate::members::{Client, http_head, is_ended, message, pg_message, row};
 use crate::relay::{Relays, Weather};
 
 /// The width of what rates are counted in.
@@ -205,7 +204,7 @@
             let write = text.contains("INSERT");
             // One that was called off ended with its connection, whatever is still done for it here.
             let before = lock(&self.seen).out.insert(id.clone(), stream.try_clone()?);
-            if before.is_some_and(|before| !ended(&before)) {
+            if before.is_some_and(|before| !is_ended(&before)) {
                 self.breaks(format!("two attempts of {id} out at once"));
             }
             // Some work, in which the next of a doubled attempt would be seen.
@@ -228,14 +227,8 @@
     fn discovery(&self, turn: &Mutex<()>, takes: Duration, list: &str, stream: &TcpStream) -> io::Result<()> {
         let mut from = io::BufReader::new(stream);
         loop {
-            let mut head = vec![];
-            while !head.ends_with(b"\r\n\r\n") {
-                let mut byte = [0];
-                from.read_exact(&mut byte)?;
-                head.push(byte[0]);
-            }
+            let head = http_head(&mut from)?;
             self.count(2);
-            let head = String::from_utf8_lossy(&head).into_owned();
             {
                 let _turn = lock(turn);
                 while self.silent.load(Ordering::Relaxed) && !self.over.load(Ordering::Relaxed) {
@@ -285,22 +278,6 @@
     }
 }
 
-/// Whether the other side has ended a connection: it has been closed, or torn down.
-fn ended(stream: &TcpStream) -> bool {
-    let mut one = [std::mem::MaybeUninit::uninit()];
-    match SockRef::from(stream).recv_with_flags(&mut one, libc::MSG_PEEK | libc::MSG_DONTWAIT) {
-        Ok(more) => more == 0,
-        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-    }
-}
-
-fn row(value: &str, tag: &str) -> Vec<u8> {
-    let length = u32::try_from(value.len()).unwrap_or(0).to_be_bytes();
-    let described = message(b'T', &[&[0, 1], &b"body\0"[..], &[0; 18]].concat());
-    let data = message(b'D', &[&[0, 1], &length[..], value.as_bytes()].concat());
-    [described, data, message(b'C', format!("{tag}\0").as_bytes())].concat()
-}
-
 fn serve(
     stage: &Arc<Stage>,
     address: SocketAddr,
