--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -46,8 +46,8 @@
 const LONGEST_GAP: f64 = 8.0;
 /// Answers and lags are remembered for so long at least, however soon a member gets warm.
 const MEMORY: Span = Span::from_millis(1000);
-/// Reports of a primary from which its position is no longer asked for: they corroborate each other.
-const CLOCK_REPORTS: u32 = 3;
+/// Positions that primaries have told from which no more are asked for: they corroborate each other.
+const CLOCK_TOLD: u32 = 3;
 /// A query that takes more than this part of the tightest bound on age is long.
 const LONG_PART: f64 = 0.7;
 
@@ -66,8 +66,6 @@
     role: Option<(Role, Time)>,
     /// Lower bound of the log position; never goes back.
     position: Option<Time>,
-    /// Reports that told a position.
-    reports: u32,
     /// How old the position was as last told (after a miss: twice what that shows), and when.
     lag: Span,
     told_at: Time,
@@ -205,6 +203,8 @@
     class_deviation: Vec<f64>,
     class_latency: Vec<f64>,
     probe_latency: f64,
+    /// Positions that primaries have told since the start.
+    clock_told: u32,
     ask_at: Option<Time>,
     ask_gap: Span,
     wake_at: Option<Time>,
@@ -236,6 +236,7 @@
             class_deviation: cfg.classes.iter().map(|c| c.aim.as_f64() / 8.0).collect(),
             class_latency,
             probe_latency: cfg.tick.as_f64(),
+            clock_told: 0,
             ask_at: (cfg.list_mode == ListMode::Asked).then_some(Time(i64::MIN)),
             ask_gap: Span(cfg.rules.ask_within.0 / 16),
             wake_at: None,
@@ -416,7 +417,7 @@
         if let Some(position) = report.position {
             node.position = node.position.max(Some(position));
             (node.lag, node.told_at) = (self.now - position, self.now);
-            node.reports = node.reports.saturating_add(1);
+            self.clock_told = self.clock_told.saturating_add(u32::from(report.primary == Some(true)));
         }
         // A report's position is the earliest that its word on the role can be dated to.
         let (Some(primary), Some(at)) = (report.primary, report.position) else { return };
@@ -759,6 +760,8 @@
         // A primary may have been one only as its answer began.
         let at = begun.filter(|_| end.role == Some(Role::Primary)).unwrap_or(now);
         end.role.into_iter().for_each(|role| self.on_role(end.node, role, at, true));
+        let told = end.role == Some(Role::Primary) && end.position.is_some();
+        self.clock_told = self.clock_told.saturating_add(u32::from(told));
         end.report.iter().for_each(|r| self.on_report(end.node, r));
         self.forget(end.node);
         if end.outcome == Outcome::ConnectFailed {
@@ -921,10 +924,10 @@
                 self.probe_for(drawn, need, actions);
             }
         }
-        // A primary stands at the present: its reports show whether the clock of this machine is right.
-        let unheard = |id: &NodeId| self.nodes.get(id).is_some_and(|n| n.reports < CLOCK_REPORTS);
-        let primary = self.groups.get(&group_id).and_then(|g| g.primary).filter(unheard);
-        if let (Some(_), Some(primary)) = (need, primary) {
+        // A primary stands at the present: what it tells shows whether the clock of this machine is right. That is asked for
+        // at the start only, of any primary.
+        let primary = self.groups.get(&group_id).and_then(|g| g.primary);
+        if let (Some(_), Some(primary)) = (need, primary.filter(|_| self.clock_told < CLOCK_TOLD)) {
             self.probe(primary, actions);
         }
         // None known: a probe on its way may tell of one, and is waited for once.
