Keep positions over a small correction of the clock, and correct none below 20 ms

Change: positions that a correction makes older stay; a clock that is behind by less than 20 ms is left (the slack on ages is 50 ms).

--- a/crates/core/src/cluster_clock.rs
+++ b/crates/core/src/cluster_clock.rs
@@ -19,6 +19,9 @@
 const REPORT_AGE: Span = Span::from_millis(1_000);
 /// What a report is taken to be old where the wall clock is ahead by more than any report is old.
 const REPORT_MARGIN: Span = Span::from_millis(250);
+/// By less than this the wall clock may be behind: as much as passes between reading it and the monotonic clock on a busy
+/// machine, and well below the slack on the age of data.
+const BEHIND: Span = Span::from_millis(20);
 /// By less than this the wall clock may be ahead: data is taken to be a little older than it is.
 const SMALL: Span = Span::from_millis(50);
 /// Observations of primaries that are kept, and how far they are apart.
@@ -82,7 +85,7 @@
         let before = self.offset;
         let greatest = self.greatest.map_or(lower, |greatest| greatest.max(lower));
         self.greatest = Some(greatest);
-        if lower > self.offset + ROUNDING.0 {
+        if lower > self.offset + BEHIND.0 {
             self.offset = lower;
         }
         if told != Told::Replica {
--- a/crates/core/tests/cluster_clock.rs
+++ b/crates/core/tests/cluster_clock.rs
@@ -53,6 +53,14 @@
     assert_eq!(clock.offset(), TRUE_OFFSET);
 }
 
+#[rstest]
+fn a_wall_clock_that_is_nearly_right_is_not_corrected(#[values(-18_000, -2_500, 40_000)] off: i64) {
+    let mut clock = ClusterClock::new(TRUE_OFFSET + off);
+    observe(&mut clock, Told::PrimaryAnswer, 0, 8);
+    assert_eq!(clock.offset(), TRUE_OFFSET + off);
+    assert!(clock.is_verified());
+}
+
 #[rstest]
 fn one_spoilt_time_moves_nothing(#[values(-HOUR, HOUR, i64::MIN / 2, i64::MAX / 2)] off: i64) {
     let mut clock = ClusterClock::new(TRUE_OFFSET);
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -283,13 +283,15 @@
         (self.cfg.routers, self.served) = (count, self.served * part);
     }
 
-    /// Positions are forgotten: which were told before the correction and which after it is not known here.
+    /// Positions that were told right behind the correction are moved by it too: where that makes them older they stay, and
+    /// where it would make them newer they are forgotten.
     fn on_clock_corrected(&mut self, by: Span) {
         let now = self.now;
         for node in self.nodes.values_mut() {
             node.started = node.started.map(|at| at + by);
             node.role = node.role.map(|(role, told)| (role, told.min(now)));
-            (node.position, node.lag, node.told_at, node.probed_at) = (None, Span(0), now, None);
+            node.position = node.position.filter(|_| by <= Span(0)).map(|at| at + by);
+            node.lag = Span((node.lag - by).0.max(0));
         }
         self.sessions.values_mut().for_each(|at| *at = *at + by);
         self.session_order.iter_mut().for_each(|(_, at)| *at = *at + by);
