Check times by the clock under which they came, and tell the core of them and of corrections in one order

It had failed there, in the case of a clock an hour behind (lags grew by the correction, so that nobody was probed again; one line, mended here). Cause of that, by reading: a position was placed by one offset as it was parsed and taken back by another as it was checked, if a correction fell in between; and an answer placed before a correction could reach the core behind it. Replies of a replica and of the primary that are asked at once make that likely. Change: positions travel by the wall clock of the start, which never changes; Link::run checks them and tells the core of them and of a correction while it holds the cluster's clock. Lists are still placed without it (open).

--- a/crates/net/src/servers.rs
+++ b/crates/net/src/servers.rs
@@ -18,7 +18,7 @@
 use crate::clients::{BUFFER, Passage};
 use crate::lock;
 use crate::places::{Member, Places};
-use valehatch_core::cluster_clock::Told;
+use valehatch_core::cluster_clock::{ClusterClock, Told};
 use valehatch_core::{ConnId, Event, Job, Reply};
 
 /// How long a connect that fails for want of something on this machine is tried again, and the first pause: each is twice
@@ -198,13 +198,13 @@
         };
         // An answer that breaks off cuts its client off only once the core has been told why.
         let way = RefCell::new(None);
-        let (mut reply, reusable) = match stream {
-            Err(outcome) => (Reply::bare(outcome), false),
+        let (mut reply, reusable, asked) = match stream {
+            Err(outcome) => (Reply::bare(outcome), false, None),
             Ok(stream) => {
                 let begin = || way.borrow_mut().insert(self.begin(&stream)?).clone().into();
-                let (reply, reusable) = self.carry(&stream, job, &begin);
+                let (reply, reusable, asked) = self.carry(&stream, job, &begin);
                 *lock(&self.held) = reusable.then_some(stream);
-                (reply, reusable)
+                (reply, reusable, asked)
             }
         };
         if !reusable {
@@ -212,8 +212,13 @@
         }
         let streamed = way.into_inner();
         let last = streamed.as_ref().filter(|_| reply.outcome == Outcome::Ok).and_then(|_| reply.body.take());
+        // The core hears of a correction of the clock before or behind the whole of this, never in between: its times would
+        // be of neither.
+        let mut cluster = self.clock.cluster();
+        asked.into_iter().for_each(|asked| self.check_times(&mut cluster, &mut reply, asked));
         // The core hears of it first: the client may ask again as soon as it has the last byte, on this connection.
         let _ = self.events.send(Event::Ended { conn: self.conn, reply, reusable });
+        drop(cluster);
         if let (Some(way), Some(last)) = (streamed, last) {
             // That the client has left is told by its own connection.
             let _ = way.finish(&last);
@@ -268,12 +273,13 @@
     }
 
     #[allow(clippy::cast_possible_truncation)]
-    fn carry(&self, stream: &TcpStream, job: &Job, begin: Begin) -> (Reply, bool) {
+    /// Writes a job and reads its answer; when it was written, if it was.
+    fn carry(&self, stream: &TcpStream, job: &Job, begin: Begin) -> (Reply, bool, Option<Time>) {
         let now = self.clock.now();
         let left = match job {
             // The dial may have outlived the request, its member's time or the window for its repeat.
             Job::Run { permit, .. } if permit.try_acquire(now).is_err() => {
-                return (Reply::bare(Outcome::Moot), true);
+                return (Reply::bare(Outcome::Moot), true, None);
             }
             Job::Run { until, .. } => (*until - now).0 / 1000,
             Job::Probe => self.connect_timeout.as_millis() as i64,
@@ -281,21 +287,21 @@
         let bytes = self.protocol.request(job, left.max(1));
         // A break before the last byte is written means that nothing ran; after it, that it may have.
         if (&mut &*stream).write_all(&bytes).is_err() {
-            return (Reply::bare(Outcome::ConnectFailed), false);
+            return (Reply::bare(Outcome::ConnectFailed), false, None);
         }
         if let (Job::Run { payload, .. }, Some(figures)) = (job, &self.figures) {
             figures.relayed(payload.class);
         }
-        let (mut reply, reusable) = self.protocol.answer(stream, job, &bytes, begin);
-        self.check_times(&mut reply, now);
-        (reply, reusable)
+        let (reply, reusable) = self.protocol.answer(stream, job, &bytes, begin);
+        (reply, reusable, Some(now))
     }
 
     /// Learns from the times that came with an answer how this machine's clock is off, and drops those that cannot be.
-    fn check_times(&self, reply: &mut Reply, asked: Time) {
+    fn check_times(&self, cluster: &mut ClusterClock, reply: &mut Reply, asked: Time) {
         let came = self.clock.now();
-        let observe = |unix: i64, told: Told| {
-            if let Some(by) = self.clock.observe(unix, asked, came, told) {
+        let observe = |cluster: &mut ClusterClock, unix: i64, told: Told| {
+            if let Some(grew) = cluster.observe(unix, asked, came, told) {
+                let by = Span(-grew);
                 let error_ms = by.0 / 1_000;
                 tracing::warn!(
                     error_ms,
@@ -304,26 +310,28 @@
                 let _ = self.events.send(Event::ClockCorrected(by));
             }
         };
-        let answered = reply.position.map(|at| self.clock.unix(at));
-        let reported = reply.report.and_then(|report| report.position).map(|at| self.clock.unix(at));
+        let answered = reply.position.map(|at| self.clock.unix_by_wall_clock(at));
+        let reported =
+            reply.report.and_then(|report| report.position).map(|at| self.clock.unix_by_wall_clock(at));
         if let Some(unix) = answered {
             let primary = reply.role == Some(Role::Primary);
-            observe(unix, if primary { Told::PrimaryAnswer } else { Told::Replica });
+            observe(cluster, unix, if primary { Told::PrimaryAnswer } else { Told::Replica });
         }
         if let Some(unix) = reported {
             let primary = reply.report.is_some_and(|report| report.primary == Some(true));
-            observe(unix, if primary { Told::PrimaryReport } else { Told::Replica });
+            observe(cluster, unix, if primary { Told::PrimaryReport } else { Told::Replica });
         }
         // Until a primary has shown that the clock is right, no data may pass for newer than it is.
-        let known = !self.verifies || self.clock.is_verified();
+        let known = !self.verifies || cluster.is_verified();
+        let place = |unix: i64| Time(unix.saturating_sub(cluster.offset()));
         let possible = |unix: i64| {
-            let at = self.clock.place(unix);
+            let at = place(unix);
             let within = at <= came + TIME_ROUNDING && at >= came - OLDEST_POSITION;
             (known && within).then_some(at.min(came))
         };
         reply.position = if reply.role == Some(Role::Primary) {
             // Whatever the clock says, a primary stood there between these two.
-            answered.map(|unix| self.clock.place(unix).clamp(asked, came))
+            answered.map(|unix| place(unix).clamp(asked, came))
         } else {
             answered.and_then(possible)
         };
--- a/crates/net/src/turn.rs
+++ b/crates/net/src/turn.rs
@@ -1,12 +1,12 @@
 //! The loop: drain what came in, read the clock once, take a turn, carry out what it asks for.
 
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
-use valehatch_policy::{Span, Time};
+use valehatch_policy::Time;
 
-use valehatch_core::cluster_clock::{ClusterClock, Told};
+use valehatch_core::cluster_clock::ClusterClock;
 use valehatch_core::{Effect, Event, State};
 
 use crate::lock;
@@ -20,6 +20,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     began: Instant,
+    /// What the wall clock said the offset was at the start; it never changes.
+    wall_offset: i64,
     /// Shared by all copies, and kept for as long as the process lives.
     cluster: &'static Mutex<ClusterClock>,
 }
@@ -29,8 +31,9 @@
     #[allow(clippy::cast_possible_truncation)]
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as i64);
-        let cluster = Box::leak(Box::new(Mutex::new(ClusterClock::new(unix - START))));
-        Self { began: Instant::now(), cluster }
+        let wall_offset = unix - START;
+        let cluster = Box::leak(Box::new(Mutex::new(ClusterClock::new(wall_offset))));
+        Self { began: Instant::now(), wall_offset, cluster }
     }
 
     /// Now.
@@ -44,21 +47,20 @@
         Time(unix.saturating_sub(lock(self.cluster).offset()))
     }
 
-    /// A time on this clock as Unix time in microseconds.
-    pub fn unix(&self, at: Time) -> i64 {
-        at.0.saturating_add(lock(self.cluster).offset())
+    /// A Unix time in microseconds as the wall clock at the start would place it: for times that are on their way to who
+    /// checks them, so that a correction meanwhile does not move them.
+    pub const fn by_wall_clock(&self, unix: i64) -> Time {
+        Time(unix.saturating_sub(self.wall_offset))
     }
 
-    /// Whether primaries have confirmed or corrected the wall clock.
-    pub fn is_verified(&self) -> bool {
-        lock(self.cluster).is_verified()
+    /// The Unix time in microseconds of a time from [`Clock::by_wall_clock`].
+    pub const fn unix_by_wall_clock(&self, at: Time) -> i64 {
+        at.0.saturating_add(self.wall_offset)
     }
 
-    /// Takes in a Unix time in microseconds that an endpoint told between these times; what was placed before lies so much
-    /// later (earlier if negative) if that corrects the clock.
-    pub fn observe(&self, unix: i64, asked: Time, came: Time, told: Told) -> Option<Span> {
-        let grew = lock(self.cluster).observe(unix, asked, came, told)?;
-        Some(Span(-grew))
+    /// The cluster's clock; corrections wait for as long as it is held.
+    pub fn cluster(&self) -> MutexGuard<'static, ClusterClock> {
+        lock(self.cluster)
     }
 }
 
--- a/crates/pg/src/servers.rs
+++ b/crates/pg/src/servers.rs
@@ -11,7 +11,7 @@
 use valehatch_core::{Job, Reply};
 use valehatch_net::Clock;
 use valehatch_net::clients::Passage;
-use valehatch_net::servers::{Begin, Speaks, place_ms};
+use valehatch_net::servers::{Begin, Speaks};
 
 /// How long an answer that has begun may stand still, while another attempt may still take its place.
 const STALL: Duration = Duration::from_millis(400);
@@ -47,8 +47,9 @@
     }
 
     /// A position in Unix milliseconds. Whether it can be true is judged by who knows when it was asked for.
+    #[allow(clippy::cast_possible_truncation)]
     fn position(&self, ms: f64) -> Option<Time> {
-        POSITIONS_MS.contains(&ms).then(|| place_ms(self.clock, ms))
+        POSITIONS_MS.contains(&ms).then(|| self.clock.by_wall_clock((ms * 1_000.0).floor() as i64))
     }
 
     /// Reads up to ReadyForQuery. What does not fit, in itself or in its place, spoils the answer: it may have
--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -291,7 +291,8 @@
             node.started = node.started.map(|at| at + by);
             node.role = node.role.map(|(role, told)| (role, told.min(now)));
             node.position = node.position.filter(|_| by <= Span(0)).map(|at| at + by);
-            node.lag = Span((node.lag - by).0.max(0));
+            // Where the clock was ahead, all data looked older than it is; where it was behind, such times never came so far.
+            node.lag = Span((node.lag - by.max(Span(0))).0.max(0));
         }
         self.sessions.values_mut().for_each(|at| *at = *at + by);
         self.session_order.iter_mut().for_each(|(_, at)| *at = *at + by);
