Pause between the questions that show the clock: probes that end at once made the core spin

From there on a probe ends in the turn that asks for it (LocalFailure), its end begins the next turn at once, and target_of_read asked the primary again without a pause: the core spins, and what is open there gets no answer in time. Test: clock_correction.rs, primaries_are_asked_for_the_clock_with_a_pause: 101 probes in one moment before, 1 now. Change: 100 ms between two such questions to one primary (Router::asks_for_clock).

--- a/crates/policy/src/decide.rs
+++ b/crates/policy/src/decide.rs
@@ -48,6 +48,8 @@
 const MEMORY: Span = Span::from_millis(1000);
 /// Positions that primaries have told from which no more are asked for: they corroborate each other.
 const CLOCK_TOLD: u32 = 3;
+/// The pause between two questions to one primary for that.
+const CLOCK_PAUSE: Span = Span::from_millis(100);
 /// A query that takes more than this part of the tightest bound on age is long.
 const LONG_PART: f64 = 0.7;
 
@@ -930,7 +932,7 @@
         // A primary stands at the present: what it tells shows whether the clock of this machine is right. That is asked for
         // at the start only, of any primary.
         let primary = self.groups.get(&group_id).and_then(|g| g.primary);
-        if let (Some(_), Some(primary)) = (need, primary.filter(|_| self.clock_told < CLOCK_TOLD)) {
+        if let (Some(_), Some(primary)) = (need, primary.filter(|id| self.asks_for_clock(*id))) {
             self.probe(primary, actions);
         }
         // None known: a probe on its way may tell of one, and is waited for once.
@@ -947,6 +949,13 @@
         primary
     }
 
+    /// Whether a primary is asked for what shows the clock: seldom enough that probes which come to nothing at once do not
+    /// follow each other without a pause.
+    fn asks_for_clock(&self, id: NodeId) -> bool {
+        let last = self.nodes.get(&id).and_then(|node| node.probed_at);
+        self.clock_told < CLOCK_TOLD && last.is_none_or(|at| self.now - at >= CLOCK_PAUSE)
+    }
+
     /// Design page: of two drawn, the one with fewer of this router's requests in flight; ours: on a tie the
     /// one in the router's zone.
     fn pick(&mut self, from: &[NodeId]) -> Option<NodeId> {
--- a/crates/policy/tests/clock_correction.rs
+++ b/crates/policy/tests/clock_correction.rs
@@ -31,3 +31,23 @@
     assert_ne!(s.at(1), Some(2));
     assert_ne!(s.at(1), Some(3));
 }
+
+/// A primary whose probes come to nothing at once, as where no connection is left, is not asked without a pause: each such
+/// end begins another turn.
+#[test]
+fn primaries_are_asked_for_the_clock_with_a_pause() {
+    let mut s = Script::new(settings());
+    s.list(true, (1..=3).map(|i| entry(i, i == 1, NodeState::Ready)).collect());
+    // The primary has as much as it may, so that the read waits.
+    (1..=20).for_each(|id| s.request(id, WRITE));
+    s.request(100, BOUNDED);
+    for _ in 0..100 {
+        // In the same moment: the router is stepped once more for each end.
+        for node in std::mem::take(&mut s.probes) {
+            s.probed(node.0, Outcome::LocalFailure, None);
+        }
+    }
+    let asked =
+        s.all.iter().filter(|(_, a)| matches!(a, Action::Probe { node } if *node == NodeId(1))).count();
+    assert!(asked <= 2, "{asked} times in one moment");
+}
