Answer what is asked in the last moments of a process in place of closing without a word

What callers saw: a request sent up to 0.25 s after an answer, as a process ended, found the end of the connection where a 53300 is owed. It had been read by the lingering close.

Change: such connections stay open; what comes is rejected, and the rejection closes the connection (core: AfterAnswer::Close; net: connection/exit.rs). At the exit a connection is closed with its error 0.15 s after the last answer; what is open then is ended and not read.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,8 +43,8 @@
 
 pub use invariants::InvariantViolation;
 pub use messages::{
-    ClientId, ConnectionId, CoreConfig, Effect, Event, Failure, FinalAnswer, IncomingRequest,
-    ListedEndpoint, LiveEndpoint, LiveView, LogEvent, MemoryReservation, Observability, OpenCounts,
-    Payload, RequestStep, UpstreamJob, UpstreamReply,
+    AfterAnswer, ClientId, ConnectionId, CoreConfig, Effect, Event, Failure, FinalAnswer,
+    IncomingRequest, ListedEndpoint, LiveEndpoint, LiveView, LogEvent, MemoryReservation,
+    Observability, OpenCounts, Payload, RequestStep, UpstreamJob, UpstreamReply,
 };
 pub use reducer::State;
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -120,6 +120,15 @@
     Failed(Failure),
 }
 
+/// What becomes of a client's connection once an answer is written to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterAnswer {
+    /// It takes further requests.
+    KeepOpen,
+    /// It is closed, unless its client has sent more meanwhile.
+    Close,
+}
+
 /// What came back for a job.
 #[derive(Debug)]
 pub struct UpstreamReply {
@@ -289,11 +298,12 @@
         ticket: u64,
         /// The answer.
         answer: FinalAnswer,
+        /// What becomes of its connection then.
+        after: AfterAnswer,
     },
     /// Close a client's connection.
     CloseClient(ClientId),
-    /// Close every client connection without an open request, however recently it was used: the
-    /// program is about to end.
+    /// Close every client connection that is idle: the program is about to end.
     CloseIdleClients,
     /// Accept no new client connections.
     StopListening,
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -13,7 +13,7 @@
 use valehatch_request_log::{AttemptRecord, FailureReason, FinalOutcome, RejectionReason};
 
 use crate::messages::{
-    ClientId, CoreConfig, Effect, Failure, FinalAnswer, IncomingRequest, LogEvent,
+    AfterAnswer, ClientId, CoreConfig, Effect, Failure, FinalAnswer, IncomingRequest, LogEvent,
     MemoryReservation, Payload, RequestStep,
 };
 use crate::outcomes::RequestEnd;
@@ -200,6 +200,7 @@
             client: reply_to.client,
             ticket: reply_to.ticket,
             answer,
+            after: after_denial(denial),
         });
     }
 
@@ -341,6 +342,7 @@
             client: request.client,
             ticket: request.ticket,
             answer,
+            after: AfterAnswer::KeepOpen,
         });
         self.record(now, request, outcome, effects);
     }
@@ -369,6 +371,14 @@
     }
 }
 
+/// A process that is about to end serves nothing more on the connection.
+const fn after_denial(denial: Denial) -> AfterAnswer {
+    match denial {
+        Denial::Stopping => AfterAnswer::Close,
+        _ => AfterAnswer::KeepOpen,
+    }
+}
+
 const fn rejection_reason(reason: GiveUpReason) -> RejectionReason {
     match reason {
         GiveUpReason::DeadlineExceeded => RejectionReason::DeadlineExceeded,
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -174,6 +174,78 @@
     assert!(gateway.program.ended().success());
 }
 
+/// What a client finds that has sent a request.
+enum Met {
+    Answer,
+    /// An answer that ends the connection.
+    LastAnswer,
+    /// The end of the connection in place of an answer.
+    Ended,
+}
+
+fn met(client: &mut Client, id: u32) -> Met {
+    loop {
+        match read_message(&mut client.0) {
+            Some((b'D', body)) => assert_eq!(body[6..], *format!("x{id}").as_bytes()),
+            Some((b'E', body)) => {
+                let text = String::from_utf8(body).unwrap();
+                // What a database still has at the end has its answer too.
+                let is_final = ["\0C53300\0", "\0C57014\0"]
+                    .iter()
+                    .any(|code| text.contains(code));
+                assert!(is_final, "request {id}: {text}");
+                if text.starts_with("SFATAL") {
+                    return Met::LastAnswer;
+                }
+            }
+            Some((b'Z', _)) => return Met::Answer,
+            None => return Met::Ended,
+            Some(_) => {}
+        }
+    }
+}
+
+/// Guards against connections that are ended without a word a moment after an answer: a request that is already on its
+/// way is then read and dropped.
+#[test]
+fn requests_of_clients_that_do_not_look_for_an_end_are_answered_until_the_exit() {
+    // The program asks whether it may exit 0.1 s before the kill, 3.7 s after the signal.
+    const ANSWERED_UNTIL: Duration = Duration::from_millis(3_590);
+    const LONGEST_PAUSE_MS: u64 = 300;
+    let (at, _) = database("read-write", |_, q| Does::Say(echo_of(q)));
+    let mut gateway = platform(&target("s-00000001", at, "read-write", "active"), 15_000);
+    let next = AtomicU32::new(1);
+    let clients: Vec<Client> = (0..40).map(|_| Client::connect(gateway.address)).collect();
+    let began = Instant::now();
+    gateway.program.terminate();
+    let unanswered: Vec<Duration> = std::thread::scope(|scope| {
+        let asking = clients.into_iter().map(|mut client| {
+            let next = &next;
+            scope.spawn(move || {
+                loop {
+                    let id = next.fetch_add(1, Ordering::SeqCst);
+                    let pause = u64::from(id) * 7_919 % LONGEST_PAUSE_MS;
+                    std::thread::sleep(Duration::from_millis(pause));
+                    let sent = client.0.write_all(&pipelined(id..id + 1, 4_000));
+                    let asked = began.elapsed();
+                    match sent.map_or(Met::Ended, |()| met(&mut client, id)) {
+                        Met::Answer => {}
+                        Met::LastAnswer => return None,
+                        Met::Ended => return Some(asked),
+                    }
+                }
+            })
+        });
+        let asking: Vec<_> = asking.collect();
+        let ended = asking.into_iter().filter_map(|a| a.join().unwrap());
+        ended.collect()
+    });
+    assert!(gateway.program.ended().success());
+    println!("without an answer, by when they were sent: {unanswered:?}");
+    let owed = unanswered.iter().filter(|asked| **asked < ANSWERED_UNTIL);
+    assert_eq!(owed.count(), 0, "{unanswered:?}");
+}
+
 #[test]
 fn half_a_message_at_the_end_of_the_program_gets_the_last_word_and_no_reset() {
     let (at, seen) = database("read-write", |_, q| Does::Say(echo_of(q)));
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -29,13 +29,13 @@
 use crossbeam_channel::Sender;
 
 use valehatch_connection_limits::ANSWER_SETTLE_TIME;
-use valehatch_core::{ClientId, Event, FinalAnswer};
+use valehatch_core::{AfterAnswer, ClientId, Event, FinalAnswer};
 use valehatch_policy::Span;
 
 use crate::Clock;
 use crate::connection_limits::SharedConnectionLimiter;
 use crate::lock;
-use connection::{CLOSING_ERROR_RETRY_AFTER, LINGER_BYTES};
+use connection::{CLOSING_ERROR_RETRY_AFTER, ClientConnection, LastRejection};
 use idle::{IdleConnection, IdleConnections};
 use registry::Registry;
 
@@ -164,10 +164,25 @@
     }
 
     /// Queues the final answer to a request. Never waits; a client that has disconnected gets none.
-    pub fn answer(&self, client: ClientId, ticket: u64, answer: FinalAnswer) {
-        if let Some(connection) = lock(&self.registry.connections).get(&client).cloned() {
-            let response = self.registry.handler.encode(ticket, answer);
+    pub fn answer(&self, client: ClientId, ticket: u64, answer: FinalAnswer, after: AfterAnswer) {
+        let Some(connection) = self.registry.get(client) else {
+            return;
+        };
+        let closing_error = match (after, &answer) {
+            (AfterAnswer::Close, FinalAnswer::Rejected { retry_after, .. }) => {
+                self.registry.handler.closing_error(*retry_after)
+            }
+            _ => vec![],
+        };
+        let response = self.registry.handler.encode(ticket, answer);
+        if closing_error.is_empty() {
             connection.enqueue(Some(ticket), response);
+        } else {
+            connection.reject_and_close(LastRejection {
+                ticket,
+                response,
+                closing_error,
+            });
         }
     }
 
@@ -181,40 +196,43 @@
     /// Closes a connection gracefully if it is idle and [`ANSWER_SETTLE_TIME`] has passed: right
     /// after a response the client would take the closing error for a second response.
     pub fn close_if_idle(&self, client: ClientId) {
-        let Some(connection) = self.registry.get(client) else {
-            return;
-        };
-        let settled_before = self.registry.clock.now() - ANSWER_SETTLE_TIME;
-        connection.close_idle_if(CLOSING_ERROR_RETRY_AFTER, |state| {
-            state.last_used < settled_before
-        });
+        if let Some(connection) = self.registry.get(client) {
+            self.close_if_settled(&connection);
+        }
     }
 
-    /// Closes all connections without a request in flight, however recently they were used: the
-    /// program is about to exit.
+    /// Closes all connections that are idle and on which [`ANSWER_SETTLE_TIME`] has passed. The
+    /// others stay open: what their clients send is rejected.
     pub fn close_all_idle(&self) {
         for connection in self.registry.all() {
-            connection.close_unless_active();
+            self.close_if_settled(&connection);
         }
     }
 
-    /// Whether the program may exit: every request is answered or rejected, and all responses are
-    /// written. True after 50 ms in any case, since the caller asks again and again.
+    fn close_if_settled(&self, connection: &Arc<ClientConnection>) {
+        let settled_before = self.registry.clock.now() - ANSWER_SETTLE_TIME;
+        connection.close_idle_if(CLOSING_ERROR_RETRY_AFTER, |state| {
+            state.last_used < settled_before
+        });
+    }
+
+    /// Whether the program may exit: every request is answered or rejected, all responses are
+    /// written, and every client has had time to read its response. True after 50 ms in any case,
+    /// since the caller asks again and again.
     pub fn can_exit(&self) -> bool {
         let requested_at = *lock(&self.exit_requested_at).get_or_insert_with(Instant::now);
-        self.close_all_idle();
         let connections = self.registry.all();
+        for connection in &connections {
+            connection.close_for_exit();
+        }
         let busy = self.accepting.load(Ordering::Relaxed)
             || connections.iter().any(|connection| connection.is_busy());
-        if busy && requested_at.elapsed() < EXIT_GRACE {
+        let unsettled = connections.iter().any(|connection| connection.is_open());
+        if (busy || unsettled) && requested_at.elapsed() < EXIT_GRACE {
             return false;
         }
-        // The exit closes the sockets. With unread bytes in a receive buffer the kernel would send
-        // a reset, and the client would lose the response or closing error that was written last.
         for connection in &connections {
-            if connection.closing_since().is_some() {
-                connection.discard_received(&mut { LINGER_BYTES });
-            }
+            connection.finish_for_exit();
         }
         true
     }
--- a/crates/net/src/clients/connection.rs
+++ b/crates/net/src/clients/connection.rs
@@ -8,9 +8,11 @@
 //! Any thread may use a connection. Its state is under one lock, its write queue under another; the
 //! write queue's lock is never held while the state's is taken.
 
+mod exit;
 mod reader;
 mod state;
 
+pub(super) use exit::LastRejection;
 pub(super) use reader::ConnectionReader;
 pub(super) use state::{ClientPresence, ConnectionPhase, ConnectionState, RequestInput};
 
@@ -37,7 +39,7 @@
 /// How long received bytes are discarded after the closing error.
 const LINGER_TIMEOUT: Span = Span::from_millis(300);
 /// How many received bytes are discarded after the closing error.
-pub(super) const LINGER_BYTES: usize = 1024 * 1024;
+const LINGER_BYTES: usize = 1024 * 1024;
 /// How often a thread that waits for responses to be written checks whether the client has
 /// disconnected: a request must not begin more than 0.1 s after that.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -353,29 +355,6 @@
             .set_activity(self.id.0, state.reported_activity, now);
     }
 
-    /// Closes the connection unless a request is in flight: the program is about to exit, which
-    /// would reset a connection with a partial request. That request is answered by the closing
-    /// error. Right after a response the client would take the error for a second response, so
-    /// sending is only shut down.
-    pub(super) fn close_unless_active(self: &Arc<Self>) {
-        let state = self.state();
-        if state.input == RequestInput::Complete
-            || state.responses_owed > 0
-            || state.closing_since().is_some()
-        {
-            return;
-        }
-        let expects_error = state.input == RequestInput::Partial
-            || self.has_received()
-            || state.last_used + ANSWER_SETTLE_TIME <= self.clock.now();
-        let closing_error = if expects_error {
-            self.handler.closing_error(CLOSING_ERROR_RETRY_AFTER)
-        } else {
-            vec![]
-        };
-        self.graceful_close(state, closing_error);
-    }
-
     /// Begins a lingering close: queues the closing error, if there is one, and shuts sending down
     /// once all is written.
     pub(super) fn graceful_close(
--- a/crates/net/src/clients/connection/state.rs
+++ b/crates/net/src/clients/connection/state.rs
@@ -4,6 +4,8 @@
 use valehatch_connection_limits::ConnectionActivity;
 use valehatch_policy::{Span, Time};
 
+use super::LastRejection;
+
 /// Closes an idle connection that has sent one request at most.
 const IDLE_TIMEOUT: Span = Span::from_millis(2_000);
 /// Closes an idle connection that has sent several requests. Longer, since a new connection costs
@@ -65,6 +67,8 @@
     pub idle_timeout: Span,
     /// A thread waits until fewer responses are owed.
     pub has_waiting_reader: bool,
+    /// A rejection that waits for the reading thread to have handled its request.
+    pub last_rejection: Option<LastRejection>,
 }
 
 impl ConnectionState {
@@ -80,6 +84,7 @@
             last_used: now,
             idle_timeout: IDLE_TIMEOUT,
             has_waiting_reader: false,
+            last_rejection: None,
         }
     }
 
--- a/crates/net/src/clients/session.rs
+++ b/crates/net/src/clients/session.rs
@@ -68,7 +68,7 @@
         } else {
             RequestInput::Partial
         };
-        self.connection().update(|state| state.input = input);
+        self.connection().finish_message(input);
     }
 
     /// Closes the connection gracefully: waits until all responses are written, sends the closing
