Reject a request that was never sent where its time or the process ends

What callers saw: 57014, 'it may have run', for a write whose connection to its endpoint never came up; such a write may not be repeated.

Cause: the core's own timer always failed a request. In a turn 5 ms late or more it runs before the decision module, which would reject. At the end of a process fail_open_request asked for a count of attempts, not whether one was written.

Change: end_request revokes the permits of what was not written and then asks whether an attempt is out or may have run; both paths use it.

--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -76,6 +76,15 @@
     pub(crate) sent_at: Time,
 }
 
+/// Why a request ends without the policy's decision, for the request log.
+#[derive(Clone, Copy)]
+pub(crate) struct EndReasons {
+    /// If it has not run.
+    pub(crate) never_ran: RejectionReason,
+    /// If it may have run.
+    pub(crate) may_have_run: FailureReason,
+}
+
 /// Where a request came in and where its answer goes.
 #[derive(Clone, Copy)]
 pub(crate) struct ReplyTo {
@@ -228,7 +237,7 @@
         (FinalOutcome::Rejected(reason), answer)
     }
 
-    /// Fails a request that the policy has left without an answer.
+    /// Ends a request that the policy has left without an answer.
     pub(crate) fn on_request_overdue(
         &mut self,
         now: Time,
@@ -236,11 +245,41 @@
         policy_events: &mut Vec<PolicyEvent>,
         effects: &mut Vec<Effect>,
     ) {
-        if !self.requests.contains_key(&id) {
-            return;
+        let reasons = EndReasons {
+            never_ran: RejectionReason::DeadlineExceeded,
+            may_have_run: FailureReason::Timeout,
+        };
+        self.end_request(now, id, reasons, policy_events, effects);
+    }
+
+    /// Gives a request its final answer without the policy: a rejection if it has not run and will
+    /// not, otherwise a failure.
+    pub(crate) fn end_request(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        reasons: EndReasons,
+        policy_events: &mut Vec<PolicyEvent>,
+        effects: &mut Vec<Effect>,
+    ) {
+        // An attempt of which nothing was written must not begin once this is decided.
+        for connection in self.connections_of(id) {
+            policy_events.extend(self.cancel_unsent_attempt(now, connection, effects));
         }
-        let answer = FinalAnswer::Failed(Failure::Timeout);
-        let outcome = FinalOutcome::Failed(FailureReason::Timeout);
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let was_written = !self.connections_of(id).is_empty();
+        let (answer, outcome) = if was_written || request.may_have_run_since.is_some() {
+            let outcome = FinalOutcome::Failed(reasons.may_have_run);
+            (FinalAnswer::Failed(Failure::Timeout), outcome)
+        } else {
+            let answer = FinalAnswer::Rejected {
+                retry_after: self.config.default_retry_after(request.class),
+                overloaded: false,
+            };
+            (answer, FinalOutcome::Rejected(reasons.never_ran))
+        };
         self.answer(now, id, answer, outcome, effects);
         policy_events.push(PolicyEvent::ClientDisconnected(id));
     }
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -16,13 +16,13 @@
 //! requests get their final answer before client connections would begin to close.
 
 use valehatch_policy::{Outcome, PolicyEvent, RequestId, Span, Time};
-use valehatch_request_log::{FailureReason, FinalOutcome, RejectionReason};
+use valehatch_request_log::{FailureReason, RejectionReason};
 
 use crate::attempts::AfterReply;
-use crate::messages::{Effect, Failure, FinalAnswer, UpstreamReply};
+use crate::messages::{Effect, UpstreamReply};
 use crate::permission::{ProcessStage, may_close};
 use crate::reducer::State;
-use crate::requests::PendingRequest;
+use crate::requests::{EndReasons, PendingRequest};
 use crate::timers::Timer;
 
 /// New connections are accepted for this long after a shutdown request: clients go on connecting
@@ -327,25 +327,15 @@
         policy_events: &mut Vec<PolicyEvent>,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let (answer, outcome) = if request.attempts == 0 {
-            let answer = FinalAnswer::Rejected {
-                retry_after: self.config.default_retry_after(request.class),
-                overloaded: false,
-            };
-            (answer, FinalOutcome::Rejected(RejectionReason::Stopping))
-        } else {
-            let outcome = FinalOutcome::Failed(FailureReason::Stopping);
-            (FinalAnswer::Failed(Failure::Timeout), outcome)
+        let reasons = EndReasons {
+            never_ran: RejectionReason::Stopping,
+            may_have_run: FailureReason::Stopping,
         };
+        let in_flight = self.connections_of(id);
+        self.end_request(now, id, reasons, policy_events, effects);
         // The client retries elsewhere once it has its answer, and an attempt still in flight would
         // overlap with the retry. So the attempt is cancelled, and its connection closed, together
         // with the answer.
-        let in_flight = self.connections_of(id);
-        self.answer(now, id, answer, outcome, effects);
-        policy_events.push(PolicyEvent::ClientDisconnected(id));
         for connection in in_flight {
             let reply = UpstreamReply::without_details(Outcome::Cancelled);
             let ended = self.on_reply(now, connection, reply, AfterReply::Close, effects);
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -361,6 +361,22 @@
     );
 }
 
+// Guards against a time-out, after which a client may not retry, for a request whose attempt was never written.
+#[test]
+fn shutdown_end_rejects_request_that_never_ran() {
+    let mut fixture =
+        Fixture::after_events(NON_IDEMPOTENT, vec![Event::ShutdownRequested], ms(3_000));
+    let answered = answer(fixture.turn(460, vec![]));
+    assert!(
+        matches!(answered, Some(FinalAnswer::Rejected { .. })),
+        "{answered:?}"
+    );
+    assert!(
+        fixture.permit.try_acquire(fixture.now).is_err(),
+        "nothing of it is written any more"
+    );
+}
+
 // A request may wait for the reducer while an earlier turn runs. Were its deadline counted from the
 // turn, the endpoint would receive a deadline later than its client's own.
 #[test]
@@ -404,3 +420,15 @@
         "{answered:?}"
     );
 }
+
+// Guards against a rejection, after which a client may retry, for a request whose attempt was written.
+#[test]
+fn late_turn_after_the_deadline_fails_request_that_may_have_run() {
+    let mut fixture = Fixture::new(NON_IDEMPOTENT);
+    assert!(fixture.permit.try_acquire(fixture.now).is_ok());
+    let answered = answer(fixture.turn(2_100, vec![]));
+    assert!(
+        matches!(answered, Some(FinalAnswer::Failed(_))),
+        "{answered:?}"
+    );
+}
