Keep a removed endpoint until its streaming attempts have ended

Found by reading: the decision module ordered a non-idempotent write again whose endpoint was removed while its answer streamed and whose connection then broke.

Cause: drop_if_removed looked at in_flight and not at streaming, so the time at which the attempt was sent was forgotten with the endpoint.

--- a/crates/gateway/tests/long.rs
+++ b/crates/gateway/tests/long.rs
@@ -143,6 +143,51 @@
     assert!(gateway.program.ended().success());
 }
 
+/// Guards against a second run of a write whose endpoint is taken off the list while its answer streams, and whose
+/// connection breaks then.
+#[test]
+fn broken_stream_of_removed_endpoint_is_not_sent_again() {
+    let mut spoilt = tagged(&long(4 * LONG), "INSERT 0 1");
+    let tag_at = spoilt.len() - 9;
+    spoilt[tag_at] = b'X';
+    let (first, seen_first) = database("read-write", move |_, _| {
+        Does::Drip(spoilt.clone(), 3 * LONG, ms(1_500))
+    });
+    let (second, seen_second) = database("read-write", |_, q| Does::Say(echo_of(q)));
+    let known = [
+        target("s-00000001", first, "read-write", "active"),
+        target("s-00000002", second, "read-only", "active"),
+    ];
+    let gateway = platform(&known.join(","), 15_000);
+    let mut client = Client::connect(gateway.address);
+    client.send(&ask("once", 1, 4_000));
+    client.0.read_exact(&mut [0; LONG]).unwrap();
+    let removed = [
+        target("s-00000001", first, "read-write", "left"),
+        target("s-00000002", second, "read-write", "active"),
+    ];
+    gateway
+        .discovery
+        .changes
+        .lock()
+        .unwrap()
+        .push(removed.join(","));
+    let mut rest = vec![];
+    client.0.read_to_end(&mut rest).unwrap();
+    assert!(!rest.ends_with(&ready()), "it does not look whole");
+    let mut next = Client::connect(gateway.address);
+    assert_eq!(
+        next.ask(&once_of(2, 4_000)),
+        Answer::Value("x2".into()),
+        "the other one is the primary now"
+    );
+    let asked = [&seen_first, &seen_second].map(|seen| {
+        let queries = seen.queries.lock().unwrap();
+        queries.iter().filter(|(_, q, _)| id_of(q) == 1).count()
+    });
+    assert_eq!(asked, [1, 0], "the write is sent once");
+}
+
 #[test]
 fn a_client_that_leaves_in_the_middle_takes_its_databases_connection_with_it() {
     let (gateway, seen) = before(|_, _| Does::Stall(row(&long(2 * LONG))[..LONG].to_vec()));
--- a/crates/policy/src/endpoint.rs
+++ b/crates/policy/src/endpoint.rs
@@ -1,8 +1,7 @@
 //! What one router knows of one endpoint.
 //!
 //! Inputs: none of its own; the module that owns a concern updates its part. State: [`Endpoint`],
-//! one for each endpoint on the list, and for each one removed from it that still has attempts in
-//! flight. Bounds: `in_flight` and `streaming` hold at most one entry for each attempt of an open
+//! one for each endpoint on the list, and for each one removed from it that still has attempts. Bounds: `in_flight` and `streaming` hold at most one entry for each attempt of an open
 //! request. Units: microseconds; the limit is in attempts, the weight and the failure rate have
 //! none.
 
@@ -96,6 +95,11 @@
         }
     }
 
+    /// Whether an attempt is out, with or without the beginning of its response.
+    pub(crate) fn has_attempts(&self) -> bool {
+        !self.in_flight.is_empty() || !self.streaming.is_empty()
+    }
+
     /// Whether it is listed as ready and not ejected.
     pub(crate) fn is_ready(&self) -> bool {
         self.state == EndpointState::Ready && !self.outlier.is_ejected()
--- a/crates/policy/src/endpoint_list.rs
+++ b/crates/policy/src/endpoint_list.rs
@@ -2,7 +2,7 @@
 //!
 //! Inputs: [`crate::PolicyEvent::EndpointList`], [`crate::PolicyEvent::DiscoveryFailed`]. State:
 //! all endpoints, those of each group, and [`ListPolling`]. Bounds: an endpoint that left the list
-//! is dropped as soon as it has no attempt in flight. Units: microseconds.
+//! is dropped as soon as all of its attempts have ended. Units: microseconds.
 
 use std::collections::BTreeSet;
 
@@ -120,7 +120,7 @@
         self.drop_if_removed(id);
     }
 
-    /// Drops a removed endpoint once it has no attempt in flight, which bounds memory.
+    /// Drops a removed endpoint once all of its attempts have ended, which bounds memory.
     pub(crate) fn drop_if_removed(&mut self, id: EndpointId) {
         let Some(endpoint) = self.endpoints.get(&id) else {
             return;
@@ -133,7 +133,7 @@
             .or_default()
             .endpoints
             .remove(&id);
-        if endpoint.in_flight.is_empty() {
+        if !endpoint.has_attempts() {
             self.endpoints.remove(&id);
         }
     }
