Close a cancelled attempt's connection before its client is answered at shutdown

What callers could see: a write that runs twice at a time. At the end of a process each open request was answered first and its connection to the endpoint closed after that, so a client that retries at once could reach the endpoint through another gateway before the end of the first attempt did.

Cause: the order of effects in fail_open_request.

Change: the connection is closed first, then the client is answered; the policy learns of both in the same order as before.

--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -331,15 +331,20 @@
             never_ran: RejectionReason::Stopping,
             may_have_run: FailureReason::Stopping,
         };
-        let in_flight = self.connections_of(id);
-        self.end_request(now, id, reasons, policy_events, effects);
         // The client retries elsewhere once it has its answer, and an attempt still in flight would
-        // overlap with the retry. So the attempt is cancelled, and its connection closed, together
-        // with the answer.
-        for connection in in_flight {
+        // overlap with the retry. So its connection is closed first.
+        let mut ended = vec![];
+        for connection in self.connections_of(id) {
+            ended.extend(self.cancel_unsent_attempt(now, connection, effects));
             let reply = UpstreamReply::without_details(Outcome::Cancelled);
-            let ended = self.on_reply(now, connection, reply, AfterReply::Close, effects);
-            policy_events.extend(ended);
+            ended.extend(self.on_reply(now, connection, reply, AfterReply::Close, effects));
+        }
+        self.end_request(now, id, reasons, policy_events, effects);
+        for mut event in ended {
+            if let PolicyEvent::AttemptEnded(end) = &mut event {
+                end.request_ended = true;
+            }
+            policy_events.push(event);
         }
     }
 }
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -361,6 +361,23 @@
     );
 }
 
+// Guards against two copies of a write at a time: its client may retry as soon as it has the answer.
+#[test]
+fn shutdown_end_closes_connection_before_the_answer() {
+    let mut fixture =
+        Fixture::after_events(NON_IDEMPOTENT, vec![Event::ShutdownRequested], ms(3_000));
+    assert!(fixture.permit.try_acquire(fixture.now).is_ok());
+    let effects = fixture.turn(460, vec![]);
+    let closed_at = effects
+        .iter()
+        .position(|e| matches!(e, Effect::CloseUpstream(c) if *c == fixture.connection));
+    let answered_at = effects
+        .iter()
+        .position(|e| matches!(e, Effect::Answer { .. }));
+    assert!(closed_at.is_some() && answered_at.is_some());
+    assert!(closed_at < answered_at, "{effects:?}");
+}
+
 // Guards against a time-out, after which a client may not retry, for a request whose attempt was never written.
 #[test]
 fn shutdown_end_rejects_request_that_never_ran() {
