Keep Cassandra's connections open until the exit of a stopping process

What callers saw: a frame sent 3.3 s or more after SIGTERM, on a connection that had been idle for 0.25 s, had no answer; it was read and discarded.

Cause: idle connections were closed from then on, and the protocol has no closing error that would answer what crosses the close.

Change: such connections stay open; what comes is served or rejected as overloaded until the exit.

--- a/crates/gateway/tests/cassandra.rs
+++ b/crates/gateway/tests/cassandra.rs
@@ -589,3 +589,30 @@
     let seen = seen.seen.lock().unwrap();
     assert!(seen.len() == 2 && seen[0].1 != seen[1].1, "{seen:?}");
 }
+
+/// Guards against connections that are ended without a word as the program stops: the protocol has no error that would
+/// answer a request which is on its way then.
+#[test]
+fn requests_of_a_client_that_does_not_look_for_an_end_are_answered_until_the_exit() {
+    // The program asks whether it may exit 3.6 s after the signal.
+    const ASKS_UNTIL: Duration = Duration::from_millis(3_590);
+    // So long that its connection counts as idle.
+    const PAUSE: Duration = Duration::from_millis(280);
+    let (at, _) = node(served);
+    let mut gateway = gateway(&[at]);
+    let mut client = Client::connect(gateway.address);
+    let began = Instant::now();
+    gateway.program.terminate();
+    for stream in 1.. {
+        client.send(stream, query("SELECT a"));
+        let asked = began.elapsed();
+        if asked >= ASKS_UNTIL {
+            break;
+        }
+        let answer = Frame::read(&mut client.0);
+        let answer = answer.unwrap_or_else(|| panic!("no answer to what was asked at {asked:?}"));
+        assert_eq!(answer.stream, stream);
+        thread::sleep(PAUSE);
+    }
+    assert!(gateway.program.ended().success());
+}
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -209,7 +209,13 @@
         }
     }
 
+    /// Does nothing where the protocol has no closing error: a request that crosses the close would
+    /// have no answer, so such connections stay open until the exit.
     fn close_if_settled(&self, connection: &Arc<ClientConnection>) {
+        let handler = &self.registry.handler;
+        if handler.closing_error(CLOSING_ERROR_RETRY_AFTER).is_empty() {
+            return;
+        }
         let settled_before = self.registry.clock.now() - ANSWER_SETTLE_TIME;
         connection.close_idle_if(CLOSING_ERROR_RETRY_AFTER, |state| {
             state.last_used < settled_before
