Let the soak's clients send without looking, and kill at the earliest time

The soak excused each request whose connection ended within 5 ms, everything that a crossing lasts, and its clients looked for an end before each send; so it could not see requests that are read and dropped as a process ends.

Change: half of the clients do not look; half of the gateways are killed 3.7 s after SIGTERM, the others must still end by themselves; the excuse holds only where the process ended then.

Still missing: signals in series, crowds.

--- a/crates/gateway/tests/soak.rs
+++ b/crates/gateway/tests/soak.rs
@@ -36,6 +36,10 @@
     fault(300, 3_000, FaultKind::LateWrites, &[0, 1, 2]),
     fault(300, 3_000, FaultKind::ClientsPipeline, &[0]),
 ])]
+#[case::planned_stops_and_hot_restart_under_clients_that_do_not_look_for_an_end(&[
+    fault(300, 1_000, FaultKind::PlannedRestart, &[0, 2]),
+    fault(600, 1_000, FaultKind::HotRestart, &[1]),
+])]
 fn overlapping_faults_break_no_invariant(#[case] faults: &[Fault]) {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_valehatch"));
     let library = valehatch_fault_control::build_library().unwrap();
--- a/crates/testbed/src/soak/clients.rs
+++ b/crates/testbed/src/soak/clients.rs
@@ -22,8 +22,11 @@
 const GAP: Duration = Duration::from_millis(50);
 /// How long after its time a client gives an answer up.
 const PATIENCE: Duration = Duration::from_millis(900);
-/// A request that was written so shortly before its connection ended crossed that end: it is asked once more.
+/// A request that was written so shortly before its connection ended crossed that end, if its process ended then: it is
+/// asked once more.
 const CROSSING: Duration = Duration::from_millis(5);
+/// So long after a process has ended that is noted at the latest.
+const END_NOTED: Duration = Duration::from_millis(100);
 /// How long a client that stops in the middle of a request waits for its end: so long it is owed one.
 const STOPS: Duration = Duration::from_millis(3_000);
 
@@ -36,6 +39,8 @@
     pub groups: usize,
     /// Time between two requests.
     pub gap: Duration,
+    /// Whether it looks for an end before it sends on a connection that rested.
+    pub looks_first: bool,
     pub rng: Xoshiro256PlusPlus,
 }
 
@@ -66,7 +71,8 @@
     ) -> Self {
         let groups = super::world::lock(&world.primaries).len();
         let (world, lifetimes) = (Arc::clone(world), Arc::clone(lifetimes));
-        let rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let looks_first = rng.random_bool(0.5);
         Self {
             world,
             gateway,
@@ -74,6 +80,7 @@
             lifetimes,
             groups,
             gap: GAP,
+            looks_first,
             rng,
         }
     }
@@ -83,7 +90,8 @@
         let mut connection = None;
         while !self.world.is_over() {
             sleep(self.gap.mul_f64(0.5 + self.rng.random::<f64>()));
-            let stream = match connection.take().filter(|stream| !has_come(stream)) {
+            let rested = connection.take();
+            let stream = match rested.filter(|stream| !self.looks_first || !has_come(stream)) {
                 Some(stream) => stream,
                 None => match connect(self.address) {
                     Ok(stream) => stream,
@@ -122,7 +130,10 @@
             });
         }
         if stream.write_all(&bytes).is_err() {
-            self.give_up(&asked, "the connection broke as it was written");
+            // No gateway has taken what was not written whole.
+            asked
+                .iter()
+                .for_each(|asked| self.world.oracle().on_excused(&asked.id));
             return None;
         }
         if leaves {
@@ -176,12 +187,16 @@
         Some(stream)
     }
 
-    /// Requests whose connection ended: lost, unless their gateway was killed or they crossed the end of an idle connection.
+    /// Requests whose connection ended: lost, unless their gateway was killed or they crossed the end of its process.
     fn give_up(&self, asked: &[Asked], why: &str) {
         let now = self.world.now();
+        sleep(END_NOTED);
         for request in asked {
             let killed = self.lifetimes.killed_between(self.gateway, request.at, now);
-            let crossed = now.saturating_sub(request.at) < CROSSING;
+            let crossed = now.saturating_sub(request.at) < CROSSING
+                && self
+                    .lifetimes
+                    .ended_between(self.gateway, request.at, now + END_NOTED);
             if killed || crossed || self.world.is_over() {
                 self.world.oracle().on_excused(&request.id);
             } else {
--- a/crates/testbed/src/soak/inject.rs
+++ b/crates/testbed/src/soak/inject.rs
@@ -16,6 +16,8 @@
 
 /// A planned stop is over by then: the longest deadline, 3 s at most, and 0.7 s; and the rig's own lateness.
 const STOP_MOST: Duration = Duration::from_millis(3_700 + 150);
+/// The earliest time from SIGTERM to SIGKILL that the page allows: the longest deadline of the classes, and 0.7 s.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 /// A second process of a gateway has so long to say that it is ready.
 const SECOND_READY: Duration = Duration::from_millis(6_000);
 /// A new configuration counts after this.
@@ -37,10 +39,17 @@
     child: Child,
     gateway: usize,
     by: Duration,
+    /// When it is killed as the platform does; `None` if it has to end by itself.
+    killed_at: Option<Duration>,
     /// The next process starts once this one has ended.
     restarts: bool,
 }
 
+/// Half of the gateways are killed at the earliest, the others must show that they end by themselves.
+fn planned_kill(gateway: usize, now: Duration) -> Option<Duration> {
+    gateway.is_multiple_of(2).then_some(now + EARLIEST_KILL)
+}
+
 /// A second process that is starting beside the first.
 struct Second {
     first: Option<Child>,
@@ -300,6 +309,7 @@
                 child,
                 gateway: n,
                 by,
+                killed_at: planned_kill(n, self.world.now()),
                 restarts: true,
             });
         }
@@ -416,7 +426,16 @@
     fn tend_leaving(&mut self, now: Duration) {
         let mut ended = vec![];
         for leaving in &mut self.leaving {
-            let done = matches!(leaving.child.try_wait(), Ok(Some(_)));
+            let mut done = matches!(leaving.child.try_wait(), Ok(Some(_)));
+            // What it has not answered by then is lost: no kill that comes unannounced.
+            if !done && leaving.killed_at.is_some_and(|at| now >= at) {
+                let _ = leaving.child.kill();
+                let _ = leaving.child.wait();
+                done = true;
+            }
+            if done {
+                self.lifetimes.on_ended(leaving.gateway, self.world.now());
+            }
             if !done && now > leaving.by {
                 let what = format!(
                     "gateway {} had not ended after a planned stop",
@@ -452,6 +471,7 @@
                     child,
                     gateway: second.gateway,
                     by,
+                    killed_at: planned_kill(second.gateway, now),
                     restarts: false,
                 });
             }
--- a/crates/testbed/src/soak/processes.rs
+++ b/crates/testbed/src/soak/processes.rs
@@ -25,6 +25,7 @@
 #[derive(Debug, Default)]
 pub struct Lifetimes {
     killed: Mutex<Vec<(usize, Duration)>>,
+    ended: Mutex<Vec<(usize, Duration)>>,
 }
 
 impl Lifetimes {
@@ -32,6 +33,18 @@
         lock(&self.killed).push((gateway, at));
     }
 
+    /// A process has ended after a planned stop.
+    pub fn on_ended(&self, gateway: usize, at: Duration) {
+        lock(&self.ended).push((gateway, at));
+    }
+
+    /// Whether a process of a gateway was seen to have ended within a time.
+    pub fn ended_between(&self, gateway: usize, from: Duration, to: Duration) -> bool {
+        lock(&self.ended)
+            .iter()
+            .any(|(ended, at)| *ended == gateway && (from..=to).contains(at))
+    }
+
     /// Whether a gateway was killed within a time, or up to a moment before it.
     pub fn killed_between(&self, gateway: usize, from: Duration, to: Duration) -> bool {
         let before = from.saturating_sub(Duration::from_millis(100));
