Write a rejection that waits for a reader which closes the connection itself

Found on rereading the mend of the closes at the end of a process: a rejection waits for the reading thread to finish its message, and that thread could close the connection after a second message (no room, too much that is malformed) and wait for the first one's answer: neither would come.

Change: a reader that closes takes over a waiting rejection, and none waits after that.

--- a/crates/net/src/clients/connection/exit.rs
+++ b/crates/net/src/clients/connection/exit.rs
@@ -55,6 +55,18 @@
         }
     }
 
+    /// The reading thread closes the connection once all responses are written, and does not come
+    /// back for a rejection: one that waits for it is written now, and none will wait.
+    pub(in crate::clients) fn begin_close_by_reader(self: &Arc<Self>) {
+        let mut state = self.state();
+        state.input = RequestInput::Partial;
+        let waiting = state.last_rejection.take();
+        drop(state);
+        if let Some(rejection) = waiting {
+            self.enqueue(Some(rejection.ticket), rejection.response);
+        }
+    }
+
     fn write_rejection(
         self: &Arc<Self>,
         mut state: MutexGuard<'_, ConnectionState>,
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -338,3 +338,96 @@
         std::thread::yield_now();
     }
 }
+
+/// A rejection of the only request that a client is owed, as the core sends it at the end of the process.
+fn last_rejection() -> LastRejection {
+    LastRejection {
+        ticket: 0,
+        response: b"rejected;".to_vec(),
+        closing_error: b"last word".to_vec(),
+    }
+}
+
+/// A connection of which one request has been submitted and not yet answered.
+fn connection_with_request(
+    input: RequestInput,
+) -> (Arc<ClientConnection>, RequestReader, TcpStream) {
+    let (connection, reader, client) = connection();
+    connection.reserve_response().unwrap();
+    connection.state().input = input;
+    (connection, reader, client)
+}
+
+#[test]
+fn rejection_of_only_request_closes_connection() {
+    let (connection, _, mut client) = connection_with_request(RequestInput::None);
+    connection.reject_and_close(last_rejection());
+    let mut all = String::new();
+    client.read_to_string(&mut all).unwrap();
+    assert_eq!(all, "last word");
+}
+
+#[test]
+fn rejection_waits_for_reader_and_closes_connection() {
+    let (connection, reader, mut client) = connection_with_request(RequestInput::Complete);
+    connection.reject_and_close(last_rejection());
+    assert!(connection.is_open(), "more may have come with the request");
+    reader.finish_message();
+    let mut all = String::new();
+    client.read_to_string(&mut all).unwrap();
+    assert_eq!(all, "last word");
+}
+
+#[test]
+fn rejection_keeps_connection_open_for_request_that_has_arrived() {
+    let (connection, _, mut client) = connection_with_request(RequestInput::None);
+    client.write_all(b"ask").unwrap();
+    while !connection.has_received() {
+        std::thread::yield_now();
+    }
+    connection.reject_and_close(last_rejection());
+    let mut answer = [0; 9];
+    client.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"rejected;");
+    assert!(connection.is_open());
+}
+
+// Guards against a rejection that is never written, for which the close would wait.
+#[test]
+fn rejection_that_waits_for_reader_is_written_before_reader_closes() {
+    let (connection, mut reader, mut client) = connection_with_request(RequestInput::Complete);
+    connection.reject_and_close(last_rejection());
+    let closing = std::thread::spawn(move || reader.close_gracefully(b"word".to_vec()));
+    let mut all = String::new();
+    client.read_to_string(&mut all).unwrap();
+    assert_eq!(all, "rejected;word");
+    assert_eq!(closing.join().unwrap(), SessionStatus::Idle);
+}
+
+// The same if the rejection comes while the reader waits for it.
+#[test]
+fn rejection_is_written_while_reader_closes() {
+    let (connection, mut reader, mut client) = connection_with_request(RequestInput::Complete);
+    let closing = std::thread::spawn(move || reader.close_gracefully(b"word".to_vec()));
+    while !connection.state().has_waiting_reader {
+        std::thread::yield_now();
+    }
+    connection.reject_and_close(last_rejection());
+    let mut all = String::new();
+    client.read_to_string(&mut all).unwrap();
+    assert_eq!(all, "rejected;word");
+    assert_eq!(closing.join().unwrap(), SessionStatus::Idle);
+}
+
+#[test]
+fn recently_answered_connection_stays_open_until_exit() {
+    let (connection, _, mut client) = connection();
+    mark_used_now(&connection);
+    connection.close_for_exit();
+    assert!(
+        connection.is_open(),
+        "the closing error may count as a second answer"
+    );
+    connection.finish_for_exit();
+    assert_eq!(client.read(&mut [0]).unwrap(), 0, "an end without an error");
+}
--- a/crates/net/src/clients/session.rs
+++ b/crates/net/src/clients/session.rs
@@ -76,6 +76,7 @@
     /// client has closed the connection too.
     pub fn close_gracefully(&mut self, closing_error: Vec<u8>) -> SessionStatus {
         let connection = Arc::clone(self.connection());
+        connection.begin_close_by_reader();
         // Where nothing can be written any more, only the client's close is left to be read.
         if connection.closing_since().is_none()
             && connection.receive_status() != ReceiveStatus::PeerClosed
