Wait a moment between the last closing error and the exit

Cause, by reading: connections that settled since the last tick were closed with their error in the same call that then let the program exit. A request that crosses it stays unread at the exit, which resets the connection, and the error may be lost.

Measured: the new exit_waits_after_the_closing_error fails without it. Suites stop, upgrade and close pass.

--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -35,12 +35,15 @@
 use crate::Clock;
 use crate::connection_limits::SharedConnectionLimiter;
 use crate::lock;
-use connection::{CLOSING_ERROR_RETRY_AFTER, ClientConnection, LastRejection};
+use connection::{CLOSING_ERROR_RETRY_AFTER, ClientConnection, EXIT_SETTLE_TIME, LastRejection};
 use idle::{IdleConnection, IdleConnections};
 use registry::Registry;
 
 /// How long the exit waits for requests that are being read and responses that are being written.
 const EXIT_GRACE: Duration = Duration::from_millis(50);
+/// How long the exit waits after the last closing error. A request that crosses it is discarded
+/// until then; as unread bytes it would reset the connection, and the error could be lost.
+const EXIT_LINGER_TIME: Duration = Duration::from_millis(20);
 
 /// The client side of one protocol. One handler serves all connections of a front, from several
 /// threads at once.
@@ -197,34 +200,35 @@
     /// after a response the client would take the closing error for a second response.
     pub fn close_if_idle(&self, client: ClientId) {
         if let Some(connection) = self.registry.get(client) {
-            self.close_if_settled(&connection);
+            self.close_if_settled(&connection, ANSWER_SETTLE_TIME);
         }
     }
 
-    /// Closes all connections that are idle and on which [`ANSWER_SETTLE_TIME`] has passed. The
-    /// others stay open: what their clients send is rejected.
+    /// Closes all connections that are idle and whose clients have had time to read their last
+    /// response, since the program is about to exit. The others stay open: what their clients send
+    /// is rejected.
     pub fn close_all_idle(&self) {
         for connection in self.registry.all() {
-            self.close_if_settled(&connection);
+            self.close_if_settled(&connection, EXIT_SETTLE_TIME);
         }
     }
 
     /// Does nothing where the protocol has no closing error: a request that crosses the close would
     /// have no answer, so such connections stay open until the exit.
-    fn close_if_settled(&self, connection: &Arc<ClientConnection>) {
+    fn close_if_settled(&self, connection: &Arc<ClientConnection>, settle_time: Span) {
         let handler = &self.registry.handler;
         if handler.closing_error(CLOSING_ERROR_RETRY_AFTER).is_empty() {
             return;
         }
-        let settled_before = self.registry.clock.now() - ANSWER_SETTLE_TIME;
+        let settled_before = self.registry.clock.now() - settle_time;
         connection.close_idle_if(CLOSING_ERROR_RETRY_AFTER, |state| {
             state.last_used < settled_before
         });
     }
 
     /// Whether the program may exit: every request is answered or rejected, all responses are
-    /// written, and every client has had time to read its response. True after 50 ms in any case,
-    /// since the caller asks again and again.
+    /// written, every client has had time to read its response, and no connection was closed a
+    /// moment ago. True after 70 ms in any case, since the caller asks again and again.
     pub fn can_exit(&self) -> bool {
         let requested_at = *lock(&self.exit_requested_at).get_or_insert_with(Instant::now);
         let connections = self.registry.all();
@@ -234,7 +238,16 @@
         let busy = self.accepting.load(Ordering::Relaxed)
             || connections.iter().any(|connection| connection.is_busy());
         let unsettled = connections.iter().any(|connection| connection.is_open());
-        if (busy || unsettled) && requested_at.elapsed() < EXIT_GRACE {
+        let waited = requested_at.elapsed();
+        if (busy || unsettled) && waited < EXIT_GRACE {
+            return false;
+        }
+        let now = self.registry.clock.now();
+        let lingering = connections
+            .iter()
+            .filter_map(|connection| connection.closing_since())
+            .any(|since| u128::from((now - since).0.unsigned_abs()) < EXIT_LINGER_TIME.as_micros());
+        if lingering && waited < EXIT_GRACE + EXIT_LINGER_TIME {
             return false;
         }
         for connection in &connections {
--- a/crates/net/src/clients/connection.rs
+++ b/crates/net/src/clients/connection.rs
@@ -12,7 +12,7 @@
 mod reader;
 mod state;
 
-pub(super) use exit::LastRejection;
+pub(super) use exit::{EXIT_SETTLE_TIME, LastRejection};
 pub(super) use reader::ConnectionReader;
 pub(super) use state::{ClientPresence, ConnectionPhase, ConnectionState, RequestInput};
 
--- a/crates/net/src/clients/connection/exit.rs
+++ b/crates/net/src/clients/connection/exit.rs
@@ -18,7 +18,7 @@
 
 /// How long a client may take to read a response before the program exits. Shorter than
 /// [`valehatch_connection_limits::ANSWER_SETTLE_TIME`]: open requests are failed 150 ms before.
-const EXIT_SETTLE_TIME: Span = Span::from_millis(150);
+pub(in crate::clients) const EXIT_SETTLE_TIME: Span = Span::from_millis(150);
 
 /// The rejection of a request on a connection that is to be closed.
 pub(in crate::clients) struct LastRejection {
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -431,3 +431,37 @@
     connection.finish_for_exit();
     assert_eq!(client.read(&mut [0]).unwrap(), 0, "an end without an error");
 }
+
+// Guards against a reset that destroys the closing error: a request that crosses it would stay unread at the exit.
+#[test]
+fn exit_waits_after_the_closing_error() {
+    const LONGEST_WAIT: Duration = Duration::from_secs(10);
+    let (events, _inbox) = crossbeam_channel::bounded(8);
+    let limits = ClientLimits {
+        memory_bytes: 1024,
+        reports_rejections: false,
+    };
+    let (connection, _, mut client) = connection();
+    let clients = Clients::new(
+        Arc::new(EmptyProtocol),
+        events,
+        connection.clock,
+        Arc::clone(&connection.limiter),
+        limits,
+    )
+    .unwrap();
+    lock(&clients.registry.connections).insert(ClientId(1), Arc::clone(&connection));
+    connection.state().last_used = connection.clock.now() - ANSWER_SETTLE_TIME;
+    assert!(!clients.can_exit(), "the connection is closed just now");
+    let closed = std::time::Instant::now();
+    client.write_all(b"ask").unwrap();
+    while !clients.can_exit() {
+        assert!(closed.elapsed() < LONGEST_WAIT);
+        sleep(Duration::from_millis(1));
+    }
+    drop(clients);
+    drop(connection);
+    let mut all = String::new();
+    client.read_to_string(&mut all).unwrap();
+    assert_eq!(all, "1", "the closing error, and no reset");
+}
