Show a case: a booking behind a report is lost as the report's value breaks off

The gateway ends the client's connection in the middle of the value, with the finished answer of the booking behind it. 6 clients, 6 bookings run and answered by their database, none answered to its client.

Nothing is mended.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod many_commands;
 mod pg;
+mod pipelined;
 mod platform;
 
 use std::process::ExitCode;
@@ -20,6 +21,7 @@
     let record = Record::create(&std::path::Path::new(folder).join("record.txt"));
     record.line(format!("case {name}, disruption: {}", common::trouble()));
     let verdict = match name.as_str() {
+        "pipelined" => pipelined::run(&record),
         "many-commands" => many_commands::run(&record),
         other => Verdict::CouldNotRun(format!("no case is named {other}")),
     };
