Show a case: across an upgrade sessions don't see the writes that they were told of

What the old process hands over holds no positions of sessions' writes, and to the new one any position will do. 12 sessions book before SIGTERM to the old process and read 0.4 s later: none sees its booking, from replicas that are 0.5 s behind.

Nothing is mended.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod pg;
 mod pipelined;
 mod platform;
+mod session_read;
 
 use std::process::ExitCode;
 
@@ -23,6 +24,7 @@
     let verdict = match name.as_str() {
         "pipelined" => pipelined::run(&record),
         "many-commands" => many_commands::run(&record),
+        "session-read" => session_read::run(&record),
         other => Verdict::CouldNotRun(format!("no case is named {other}")),
     };
     match verdict {
