--- a/review/standins/pg.rs
+++ b/review/standins/pg.rs
@@ -116,6 +116,12 @@
     }
 }
 
+/// The startup message of a client.
+pub fn startup() -> Vec<u8> {
+    let fields = b"\0\x03\0\0user\0worker\0database\0catalog\0\0";
+    [&(fields.len() as u32 + 4).to_be_bytes()[..], fields].concat()
+}
+
 pub struct Client(pub TcpStream);
 
 impl Client {
@@ -124,9 +130,7 @@
         let mut stream = TcpStream::connect_timeout(&address, millis(1000))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(patience))?;
-        let fields = b"\0\x03\0\0user\0worker\0database\0catalog\0\0";
-        stream.write_all(&(fields.len() as u32 + 4).to_be_bytes())?;
-        stream.write_all(fields)?;
+        stream.write_all(&startup())?;
         while read_message(&mut stream)?.0 != b'Z' {}
         Ok(Self(stream))
     }
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -97,6 +97,7 @@
     pub site: Site,
     pub known: String,
     pub memory_mb: usize,
+    pub descriptors: usize,
 }
 
 impl Platform<'_> {
@@ -105,10 +106,11 @@
         let text = format!(
             "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{discovery}\",\
              \"seed\":\"8c1f30d27a5be964\",\
-             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":1024}},\
+             \"limits\":{{\"cores\":1.0,\"memory_mb\":{},\"sockets\":{}}},\
              \"known\":{},\"settings\":{}}}",
             self.listen,
             self.memory_mb,
+            self.descriptors,
             self.known,
             self.site.json()
         );
--- a/review/standins/session_read.rs
+++ b/review/standins/session_read.rs
@@ -275,6 +275,7 @@
         listen: free_address(),
         known: agent.json(None).unwrap_or_default(),
         memory_mb: 192,
+        descriptors: 1024,
         site: site(),
     };
     platform.write_config(agent.address);
