--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -9,7 +9,7 @@
     exit 2
 fi
 # When the time is over, timeout ends the whole process group, the gateway too.
-timeout --kill-after=5 110 target/review/cases crowd "$here"
+timeout --kill-after=5 110 target/review/cases many-commands "$here"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -170,11 +170,6 @@
         number.and_then(|number| number.parse().ok()).unwrap_or(0)
     }
 
-    /// Descriptors that the process holds.
-    pub fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.pid)).map_or(0, Iterator::count)
-    }
-
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
     }
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,7 +3,7 @@
 //! run. `TROUBLE=0` leaves the disruption out.
 
 mod common;
-mod crowd;
+mod many_commands;
 mod pg;
 mod pipelined;
 mod platform;
@@ -23,7 +23,7 @@
     record.line(format!("case {name}, disruption: {}", common::trouble()));
     let verdict = match name.as_str() {
         "pipelined" => pipelined::run(&record),
-        "crowd" => crowd::run(&record),
+        "many-commands" => many_commands::run(&record),
         "session-read" => session_read::run(&record),
         other => Verdict::CouldNotRun(format!("no case is named {other}")),
     };
--- a/review/standins/pipelined.rs
+++ b/review/standins/pipelined.rs
@@ -175,6 +175,7 @@
     };
     for n in 0..4 {
         let id = format!("warm{n}");
+        record.line(format!("client: {id} sent"));
         let answer = client.query(&booking(&id));
         record.line(format!("client: {id}: {}", answer.text()));
         if answer != Answer::Served(id.into_bytes()) {
--- a/review/standins/session_read.rs
+++ b/review/standins/session_read.rs
@@ -180,7 +180,10 @@
                 thread::sleep(millis(20));
                 continue;
             };
-            answer = client.query(&query(&id));
+            let query = query(&id);
+            let kind = if query.contains("INSERT") { "booking" } else { "read" };
+            self.record.line(format!("client: {id} {kind} sent"));
+            answer = client.query(&query);
             self.record.line(format!("client: {id} {}", answer.text()));
             match answer {
                 Answer::Cut(_) => self.client = None,
