--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -59,12 +59,7 @@
     fn on_admitted(&mut self, now: Time, id: RequestId) -> Option<PolicyEvent> {
         let pending = self.requests.get_mut(&id)?;
         let request = pending.queued.take()?;
-        let waited = Span((now - pending.arrived).0.max(0));
-        Some(PolicyEvent::Request(Request {
-            time_left: Span((pending.deadline - now).0.max(1)),
-            since_last_write: request.since_last_write.map(|ago| ago + waited),
-            ..*request
-        }))
+        Some(PolicyEvent::Request(pending.request_at(now, *request)))
     }
 
     fn on_queue_rejection(
--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -114,6 +114,8 @@
             return self.on_reply(now, connection, reply, AfterReply::Close, effects);
         };
         request.response_started_at = Some(now);
+        // The front reserves the chunks that it buffers.
+        request.response_memory.shrink_to(0);
         let overdue_at = request.overdue_at();
         effects.push(Effect::ForwardBody {
             connection,
@@ -250,6 +252,7 @@
             return true;
         };
         request.last_outcome = Some(reply.outcome);
+        request.response_memory.add(reply.memory);
         match reply.body {
             Some(body) if reply.outcome == Outcome::Ok => {
                 let outcome = self.config.served_outcome(request, now);
--- a/crates/core/src/client_connections.rs
+++ b/crates/core/src/client_connections.rs
@@ -3,8 +3,9 @@
 //! Both are bounded: connections by the number that the fronts accept, requests by
 //! `max_open_requests` in the settings.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 
+use valehatch_memory_budget::UnwrittenResponses;
 use valehatch_policy::{Outcome, PolicyEvent, RequestId, Time};
 use valehatch_request_log::FinalOutcome;
 
@@ -17,6 +18,11 @@
 pub(crate) struct ClientConnection {
     /// Requests that were received on the connection and have no final answer yet.
     pub(crate) open_requests: BTreeSet<RequestId>,
+    /// Open requests that are held until there is memory for their responses, in the order of their
+    /// arrival.
+    pub(crate) held: VecDeque<RequestId>,
+    /// Scheduled requests whose response is not completely written.
+    pub(crate) unwritten: UnwrittenResponses,
 }
 
 impl State {
@@ -34,6 +40,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let closed = self.clients.remove(&client).unwrap_or_default();
+        self.clients_with_held.remove(&client);
         for id in closed.open_requests {
             policy_events.extend(self.abort_request(now, id, effects));
         }
@@ -54,7 +61,7 @@
             admission.on_client_disconnected(now, id, &mut self.admission_decisions);
         }
         let request = self.remove_request(now, id, effects)?;
-        let was_admitted = request.queued.is_none();
+        let was_admitted = request.queued.is_none() && request.held.is_none();
         self.record(now, request, FinalOutcome::Aborted, effects);
         was_admitted.then_some(PolicyEvent::ClientDisconnected(id))
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod permission;
 mod reducer;
 mod requests;
+mod response_memory;
 pub mod shutdown;
 mod timers;
 mod upstream_connections;
@@ -44,7 +45,8 @@
 pub use invariants::InvariantViolation;
 pub use messages::{
     AfterAnswer, ClientId, ConnectionId, CoreConfig, Effect, Event, Failure, FinalAnswer,
-    IncomingRequest, ListedEndpoint, LiveEndpoint, LiveView, LogEvent, MemoryReservation,
-    Observability, OpenCounts, Payload, RequestStep, UpstreamJob, UpstreamReply,
+    IncomingRequest, ListedEndpoint, LiveEndpoint, LiveView, LogEvent, Observability, OpenCounts,
+    Payload, RequestStep, UpstreamJob, UpstreamReply,
 };
 pub use reducer::State;
+pub use response_memory::{ResponseLimits, ResponseMemory};
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -4,9 +4,9 @@
 //! identified by their indexes in the settings.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use valehatch_admission::{QuotaCountMismatch, Settings as AdmissionSettings, TenantQueueView};
+use valehatch_memory_budget::Reservation;
 use valehatch_policy::{
     EndpointRecord, EndpointView, GroupId, GroupView, LoadReport, Outcome, Role, SessionKey,
     Settings, Span, Time,
@@ -14,6 +14,7 @@
 use valehatch_request_log::{FinalOutcome, OutcomeMetrics, RejectionReason, RequestRecord};
 
 use crate::permission::{Decisions, Denial, SendPermit};
+use crate::response_memory::{ResponseLimits, ResponseMemory};
 
 /// Identifies a connection from a client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -23,33 +24,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
 
-/// Memory reserved for the bytes of a request; released when the reservation is dropped.
-#[derive(Debug)]
-pub struct MemoryReservation {
-    used: Arc<AtomicUsize>,
-    bytes: usize,
-}
-
-impl MemoryReservation {
-    /// Reserves `bytes` unless the reservations that share the counter `used` would then exceed
-    /// `limit` bytes in total.
-    pub fn try_acquire(used: &Arc<AtomicUsize>, bytes: usize, limit: usize) -> Option<Self> {
-        // Created before the check: above the limit, dropping the reservation releases its bytes.
-        let reservation = Self {
-            used: Arc::clone(used),
-            bytes,
-        };
-        let in_use = used.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        (in_use <= limit).then_some(reservation)
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// The part of a request that is forwarded to an endpoint.
 #[derive(Debug)]
 pub struct Payload {
@@ -85,7 +59,7 @@
     /// The part that is forwarded to an endpoint.
     pub payload: Arc<Payload>,
     /// Reservation for the request's bytes, held while the request is open.
-    pub memory: MemoryReservation,
+    pub memory: Reservation,
     /// Identifies the client, as far as the front can distinguish clients. The admission queue
     /// shares capacity evenly between clients.
     pub client: u64,
@@ -147,6 +121,8 @@
     /// Whether every endpoint would answer with this error, in which case the error is forwarded
     /// and the request is not retried.
     pub is_final_error: bool,
+    /// Memory reserved for `body` beyond what was reserved when the request was sent, if any.
+    pub memory: Option<Reservation>,
 }
 
 impl UpstreamReply {
@@ -159,6 +135,7 @@
             report: None,
             body: None,
             is_final_error: false,
+            memory: None,
         }
     }
 }
@@ -303,6 +280,8 @@
         answer: FinalAnswer,
         /// Whether the client connection stays open afterwards.
         after: AfterAnswer,
+        /// Memory reserved for the answer, to be held until the answer is written.
+        memory: ResponseMemory,
     },
     /// Close a client's connection.
     CloseClient(ClientId),
@@ -447,4 +426,6 @@
     pub upstream_connection_limit: usize,
     /// How long to wait for the answer to a health check.
     pub health_check_timeout: Span,
+    /// Limits on the memory of responses; `None` does not limit it.
+    pub response_limits: Option<ResponseLimits>,
 }
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -14,6 +14,8 @@
 //! | `ShutdownRequested`, `HandoffStarted` | `shutdown.rs` |
 //! | `PublishView` | `live_view.rs` |
 //!
+//! Accepted requests pass `response_memory.rs` and the admission queue before the policy sees them.
+//!
 //! Times are whole microseconds of the process's monotonic clock. Open requests are bounded by
 //! `max_open_requests` in the settings, upstream connections by `upstream_connection_limit`, and
 //! endpoints by the endpoint list.
@@ -50,6 +52,11 @@
     /// Endpoints that accept new requests.
     pub(crate) ready_endpoints: BTreeSet<EndpointId>,
     pub(crate) clients: BTreeMap<ClientId, ClientConnection>,
+    /// Clients with requests that are held until there is memory for their responses.
+    pub(crate) clients_with_held: BTreeSet<ClientId>,
+    /// The client whose held request was considered last.
+    pub(crate) last_client_scheduled: ClientId,
+    pub(crate) held_timer_set: bool,
     pub(crate) timers: BTreeSet<ScheduledTimer>,
     /// Events for the policy in the next turn, since each turn steps the policy only once.
     pub(crate) pending_events: Vec<PolicyEvent>,
@@ -98,6 +105,9 @@
             endpoints: BTreeMap::new(),
             ready_endpoints: BTreeSet::new(),
             clients: BTreeMap::new(),
+            clients_with_held: BTreeSet::new(),
+            last_client_scheduled: ClientId(0),
+            held_timer_set: false,
             timers,
             pending_events: vec![],
             next_request: 0,
@@ -131,6 +141,7 @@
         while let Some(timer) = self.pop_due_timer(now) {
             self.on_timer(now, timer, &mut policy_events, effects);
         }
+        self.schedule_held(now, &mut policy_events);
         self.apply_admission_decisions(now, &mut policy_events, effects);
         let mut actions = vec![];
         self.router.step(now, &policy_events, &mut actions);
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use valehatch_admission::{Arrival, Completion};
+use valehatch_memory_budget::Reservation;
 use valehatch_policy::{
     ClassId, GiveUpReason, GroupId, Outcome, PolicyEvent, Request, RequestId, Span, TenantId, Time,
 };
@@ -15,11 +16,12 @@
 
 use crate::messages::{
     AfterAnswer, ClientId, CoreConfig, Effect, Failure, FinalAnswer, IncomingRequest, LogEvent,
-    MemoryReservation, Payload, RequestStep,
+    Payload, RequestStep,
 };
 use crate::outcomes::RequestEnd;
 use crate::permission::{AcceptCheck, Denial, may_accept};
 use crate::reducer::State;
+use crate::response_memory::{HeldRequest, ResponseMemory};
 use crate::shutdown::RETRY_AFTER_HANDOFF;
 use crate::timers::Timer;
 
@@ -39,11 +41,18 @@
     pub(crate) group: GroupId,
     /// When the last byte of the request was read.
     pub(crate) arrived: Time,
+    /// When the core accepted the request.
+    pub(crate) accepted: Time,
     /// When the final answer must have been sent.
     pub(crate) deadline: Time,
     pub(crate) payload: Arc<Payload>,
     /// Reservation for the request's bytes, released when the request is dropped.
-    pub(crate) _memory: MemoryReservation,
+    pub(crate) memory: Option<Reservation>,
+    /// Memory reserved for the response; empty while the request is held.
+    pub(crate) response_memory: ResponseMemory,
+    /// The request as it is to be scheduled, while it is held until there is memory for its
+    /// response.
+    pub(crate) held: Option<Box<HeldRequest>>,
     /// Attempts ordered by the policy so far, including those that were not sent.
     pub(crate) attempts: u32,
     /// When the first attempt was sent; for the request log.
@@ -103,9 +112,12 @@
             tenant: incoming.tenant,
             group: incoming.group,
             arrived,
+            accepted: now,
             deadline: arrived + time_allowed,
             payload: incoming.payload,
-            _memory: incoming.memory,
+            memory: Some(incoming.memory),
+            response_memory: ResponseMemory::default(),
+            held: None,
             attempts: 0,
             first_sent_at: None,
             attempt_records: vec![],
@@ -118,6 +130,25 @@
         }
     }
 
+    /// The request as it is passed to the policy now; `request` is as of its acceptance.
+    pub(crate) fn request_at(&self, now: Time, request: Request) -> Request {
+        let waited = Span((now - self.accepted).0.max(0));
+        Request {
+            time_left: Span((self.deadline - now).0.max(1)),
+            since_last_write: request.since_last_write.map(|ago| ago + waited),
+            ..request
+        }
+    }
+
+    /// Takes the memory that is reserved for the answer. The rejection of a held request takes the
+    /// place of the request itself.
+    fn take_response_memory(&mut self) -> ResponseMemory {
+        match &self.held {
+            Some(_) => self.memory.take().map(Into::into).unwrap_or_default(),
+            None => std::mem::take(&mut self.response_memory),
+        }
+    }
+
     /// When the request is ended if the policy has not answered it, which is after the client's own
     /// timeout.
     pub(crate) fn overdue_at(&self) -> Time {
@@ -138,7 +169,7 @@
         self.count_request(incoming.tenant, now);
         if let Err(denial) = self.check_accept(&incoming) {
             self.config.decisions.on_denied(denial);
-            self.answer_denied(reply_to, &incoming, denial, effects);
+            self.answer_denied(reply_to, incoming, denial, effects);
             return None;
         }
         self.next_request += 1;
@@ -172,11 +203,7 @@
         };
         self.set_timer(pending.overdue_at(), Timer::RequestOverdue(id));
         self.requests.insert(id, pending);
-        if self.admission.is_none() {
-            return Some(PolicyEvent::Request(request));
-        }
-        self.enqueue(now, arrival, request);
-        None
+        self.schedule_or_hold(now, HeldRequest { arrival, request })
     }
 
     fn check_accept(&self, incoming: &IncomingRequest) -> Result<(), Denial> {
@@ -192,7 +219,7 @@
     fn answer_denied(
         &self,
         reply_to: ReplyTo,
-        incoming: &IncomingRequest,
+        incoming: IncomingRequest,
         denial: Denial,
         effects: &mut Vec<Effect>,
     ) {
@@ -206,6 +233,7 @@
             ticket: reply_to.ticket,
             answer,
             after: after_denial(denial),
+            memory: incoming.memory.into(),
         });
     }
 
@@ -351,6 +379,9 @@
         if let Some(name) = &request.name {
             self.open_names.remove(name);
         }
+        if request.held.is_some() {
+            self.forget_held(request.client, id);
+        }
         for connection in self.connections_of(id) {
             let ended = self.cancel_unsent_attempt(now, connection, effects);
             self.pending_events.extend(ended);
@@ -372,7 +403,7 @@
         } else {
             Completion::NotServed
         };
-        let Some(request) = self.close_request(now, id, completion, effects) else {
+        let Some(mut request) = self.close_request(now, id, completion, effects) else {
             return;
         };
         effects.push(Effect::Answer {
@@ -380,6 +411,7 @@
             ticket: request.ticket,
             answer,
             after: AfterAnswer::KeepOpen,
+            memory: request.take_response_memory(),
         });
         self.record(now, request, outcome, effects);
     }
@@ -399,6 +431,9 @@
         let Some(admission) = &mut self.admission else {
             return Some(request);
         };
+        if request.held.is_some() {
+            return Some(request);
+        }
         if request.queued.is_some() {
             admission.on_client_disconnected(now, id, &mut self.admission_decisions);
         } else {
--- /dev/null
+++ b/crates/core/src/response_memory.rs
@@ -0,0 +1,244 @@
+//! Memory for responses: reserved before a request is scheduled, so that no response arrives
+//! without room for it.
+//!
+//! The first open request of a client is scheduled at once; the front bounds the number of clients
+//! that have one. Its further requests, which are pipelined, are scheduled in the order of their
+//! arrival, as far as the budget has room for their responses. Until then they are held here, and
+//! clients with held requests take turns. A held request is rejected after a part of its time, as
+//! in the admission queue.
+//!
+//! Inputs: accepted requests, the budget, and the unwritten responses of each client, which fall as
+//! the front writes responses. State: the held requests in [`ClientConnection::held`], bounded by
+//! `max_open_requests` in the settings, and the client whose turn was last. Times are whole
+//! microseconds of the process's monotonic clock.
+
+use std::ops::Bound;
+use std::sync::Arc;
+
+use valehatch_admission::Arrival;
+use valehatch_memory_budget::{MemoryBudget, MemoryUse, Reservation, UnwrittenResponse};
+use valehatch_policy::{PolicyEvent, Request, RequestId, Span, Time};
+use valehatch_request_log::{FinalOutcome, RejectionReason};
+
+use crate::client_connections::ClientConnection;
+use crate::messages::{ClientId, Effect, FinalAnswer};
+use crate::reducer::State;
+use crate::timers::Timer;
+
+/// Interval at which held requests are scheduled or rejected. Written responses free memory without
+/// an event.
+const HELD_INTERVAL: Span = Span::from_millis(5);
+/// Part of its time, in tenths, after which a held request is rejected, so that its client can
+/// still retry.
+const HELD_TENTHS: i64 = 4;
+
+/// Limits on the memory of responses.
+#[derive(Clone, Debug)]
+pub struct ResponseLimits {
+    /// The front's budget.
+    pub budget: Arc<MemoryBudget>,
+    /// Maximum size of a response in bytes that is buffered without a further reservation.
+    pub response_bytes: usize,
+}
+
+/// Memory reserved for one response, held until the response is written.
+#[derive(Debug, Default)]
+pub struct ResponseMemory {
+    reserved: Option<Reservation>,
+    /// What the response takes beyond `reserved`.
+    additional: Option<Reservation>,
+    /// Counts the response as unwritten.
+    _unwritten: Option<UnwrittenResponse>,
+}
+
+impl ResponseMemory {
+    /// Adds the memory that a large response has reserved when it arrived.
+    pub(crate) fn add(&mut self, additional: Option<Reservation>) {
+        if additional.is_some() {
+            self.additional = additional;
+        }
+    }
+
+    /// Releases what a response of this size, in bytes, does not need.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let additional = self.additional.as_ref().map_or(0, Reservation::bytes);
+        if let Some(reserved) = &mut self.reserved {
+            reserved.shrink_to(bytes.saturating_sub(additional));
+        }
+        if let Some(additional) = &mut self.additional {
+            additional.shrink_to(bytes);
+        }
+    }
+}
+
+impl From<Reservation> for ResponseMemory {
+    fn from(reserved: Reservation) -> Self {
+        Self {
+            reserved: Some(reserved),
+            ..Self::default()
+        }
+    }
+}
+
+/// A request that is accepted but not scheduled yet.
+pub(crate) struct HeldRequest {
+    pub(crate) arrival: Arrival,
+    pub(crate) request: Request,
+}
+
+impl ResponseLimits {
+    /// Reserves memory for the response to a client's next request; `None` if there is no room.
+    fn try_reserve(&self, client: &ClientConnection) -> Option<ResponseMemory> {
+        let unwritten = client.unwritten.count();
+        let reserved = if unwritten == 0 {
+            // The front bounds the number of clients with an open request.
+            self.budget
+                .reserve(MemoryUse::Responses, self.response_bytes)
+        } else if unwritten < self.budget.max_responses_of_client(self.response_bytes) {
+            let usage = MemoryUse::PipelinedResponses;
+            self.budget.try_reserve(usage, self.response_bytes)?
+        } else {
+            return None;
+        };
+        Some(ResponseMemory {
+            reserved: Some(reserved),
+            additional: None,
+            _unwritten: Some(client.unwritten.add()),
+        })
+    }
+}
+
+impl State {
+    /// Schedules an accepted request, or holds it until there is room for its response. Returns the
+    /// event for the policy if the request is scheduled without an admission queue.
+    pub(crate) fn schedule_or_hold(&mut self, now: Time, held: HeldRequest) -> Option<PolicyEvent> {
+        let id = held.request.id;
+        let Some(limits) = &self.config.response_limits else {
+            return self.schedule(now, held);
+        };
+        let pending = self.requests.get_mut(&id)?;
+        let client = self.clients.entry(pending.client).or_default();
+        let memory = if client.held.is_empty() {
+            limits.try_reserve(client)
+        } else {
+            None
+        };
+        if let Some(memory) = memory {
+            pending.response_memory = memory;
+            return self.schedule(now, held);
+        }
+        client.held.push_back(id);
+        self.clients_with_held.insert(pending.client);
+        pending.held = Some(Box::new(held));
+        self.set_held_timer(now);
+        None
+    }
+
+    /// Passes a request to the admission queue or, without one, to the policy.
+    fn schedule(&mut self, now: Time, held: HeldRequest) -> Option<PolicyEvent> {
+        let HeldRequest { arrival, request } = held;
+        if self.admission.is_some() {
+            self.enqueue(now, arrival, request);
+            return None;
+        }
+        let pending = self.requests.get(&request.id)?;
+        Some(PolicyEvent::Request(pending.request_at(now, request)))
+    }
+
+    /// Schedules held requests as far as there is room for their responses. Clients take turns, one
+    /// request at a time.
+    pub(crate) fn schedule_held(&mut self, now: Time, policy_events: &mut Vec<PolicyEvent>) {
+        let mut without_room = 0;
+        while without_room < self.clients_with_held.len() {
+            let Some(client) = self.next_client_with_held() else {
+                return;
+            };
+            self.last_client_scheduled = client;
+            match self.take_held(client) {
+                Some(held) => {
+                    policy_events.extend(self.schedule(now, held));
+                    without_room = 0;
+                }
+                None => without_room += 1,
+            }
+        }
+    }
+
+    fn next_client_with_held(&self) -> Option<ClientId> {
+        let after = (
+            Bound::Excluded(self.last_client_scheduled),
+            Bound::Unbounded,
+        );
+        let next = self.clients_with_held.range(after).next();
+        next.or_else(|| self.clients_with_held.first()).copied()
+    }
+
+    /// Removes a client's first held request if there is room for its response.
+    fn take_held(&mut self, id: ClientId) -> Option<HeldRequest> {
+        let client = self.clients.get_mut(&id)?;
+        let first = *client.held.front()?;
+        let memory = self.config.response_limits.as_ref()?.try_reserve(client)?;
+        client.held.pop_front();
+        if client.held.is_empty() {
+            self.clients_with_held.remove(&id);
+        }
+        let pending = self.requests.get_mut(&first)?;
+        pending.response_memory = memory;
+        pending.held.take().map(|held| *held)
+    }
+
+    /// Removes a request that ends while it is held.
+    pub(crate) fn forget_held(&mut self, client: ClientId, id: RequestId) {
+        let Some(connection) = self.clients.get_mut(&client) else {
+            self.clients_with_held.remove(&client);
+            return;
+        };
+        connection.held.retain(|held| *held != id);
+        if connection.held.is_empty() {
+            self.clients_with_held.remove(&client);
+        }
+    }
+
+    /// Rejects held requests that have waited for too long, and sets the timer again while requests
+    /// are held.
+    pub(crate) fn on_held_timer(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.held_timer_set = false;
+        for id in self.expired_held(now) {
+            let Some(request) = self.requests.get(&id) else {
+                continue;
+            };
+            let answer = FinalAnswer::Rejected {
+                retry_after: self.config.default_retry_after(request.class),
+                overloaded: true,
+            };
+            let outcome = FinalOutcome::Rejected(RejectionReason::OutOfMemory);
+            self.answer(now, id, answer, outcome, effects);
+        }
+        if !self.clients_with_held.is_empty() {
+            self.set_held_timer(now);
+        }
+    }
+
+    /// Held requests that have waited for too long.
+    fn expired_held(&self, now: Time) -> Vec<RequestId> {
+        let held = self
+            .clients_with_held
+            .iter()
+            .filter_map(|client| self.clients.get(client))
+            .flat_map(|client| &client.held);
+        let is_expired = |id: &&RequestId| {
+            self.requests.get(id).is_some_and(|request| {
+                let longest_wait = Span((request.deadline - request.arrived).0 / 10 * HELD_TENTHS);
+                now - request.arrived > longest_wait
+            })
+        };
+        held.filter(is_expired).copied().collect()
+    }
+
+    fn set_held_timer(&mut self, now: Time) {
+        if !self.held_timer_set {
+            self.held_timer_set = true;
+            self.set_timer(now + HELD_INTERVAL, Timer::HeldRequests);
+        }
+    }
+}
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -42,6 +42,9 @@
     FailOpenRequests,
     /// Shutdown: requests the exit of the process; repeats.
     Exit,
+    /// Schedules or rejects requests that are held until there is memory for their responses;
+    /// repeats.
+    HeldRequests,
 }
 
 /// A timer and when it is due.
@@ -96,6 +99,7 @@
             Timer::CloseClients => self.on_close_clients_timer(now, effects),
             Timer::RejectAfterHandoff => self.on_reject_after_handoff_timer(),
             Timer::Exit => self.on_exit_timer(now, effects),
+            Timer::HeldRequests => self.on_held_timer(now, effects),
             Timer::FailOpenRequests => self.fail_open_requests(now, policy_events, effects),
         }
     }
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -4,7 +4,6 @@
 mod support;
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 
 use support::{NON_IDEMPOTENT, config, incoming_request, ms};
@@ -13,6 +12,7 @@
     ClientId, ConnectionId, Effect, Event, FinalAnswer, ListedEndpoint, State, UpstreamJob,
     UpstreamReply,
 };
+use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_policy::{
     EndpointId, EndpointRecord, EndpointState, GroupId, KindId, Outcome, Span, Time, ZoneId,
 };
@@ -23,7 +23,7 @@
 struct Fixture {
     state: State,
     now: Time,
-    memory: Arc<AtomicUsize>,
+    memory: Arc<MemoryBudget>,
     permit: SendPermit,
     connection: ConnectionId,
     /// When the attempt times out.
@@ -118,7 +118,7 @@
     /// A fixture in which `before` was handled, and `time` passed, before the request was received.
     fn after_events(class: usize, before: Vec<Event>, time: Span) -> Self {
         let mut state = State::new(config(ms(3_000)), 1).unwrap();
-        let (start, memory) = (Time(100_000_000), Arc::new(AtomicUsize::new(0)));
+        let (start, memory) = (Time(100_000_000), Arc::new(MemoryBudget::new(0)));
         state.reduce(start, before, &mut vec![]);
         let now = start + time;
         let request = incoming_request(&memory, class, now);
@@ -210,7 +210,7 @@
         );
         assert!(closed(&effects, fixture.connection));
         assert_eq!(
-            fixture.memory.load(Ordering::Relaxed),
+            fixture.memory.used(MemoryUse::Requests),
             0,
             "the memory is released"
         );
@@ -237,7 +237,7 @@
         !closed(&effects, fixture.connection),
         "the attempt continues on its connection"
     );
-    assert_eq!(fixture.memory.load(Ordering::Relaxed), 0);
+    assert_eq!(fixture.memory.used(MemoryUse::Requests), 0);
 }
 
 // An endpoint begins to drain or is removed while the connection for an attempt is being
--- a/crates/core/tests/shutdown_schedule.rs
+++ b/crates/core/tests/shutdown_schedule.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 
 use rstest::rstest;
 use support::{NON_IDEMPOTENT, config, incoming_request, ms};
 use valehatch_core::{ClientId, Effect, Event, FinalAnswer, State};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_policy::{Span, Time};
 
 const START: Time = Time(100_000_000);
@@ -53,7 +53,7 @@
 
     /// Sends a request. Returns its Retry-After, or `None` if it is accepted.
     fn retry_after(&mut self) -> Option<Span> {
-        let memory = Arc::new(AtomicUsize::new(0));
+        let memory = Arc::new(MemoryBudget::new(0));
         let received = START + ms(self.elapsed_ms);
         let request = incoming_request(&memory, NON_IDEMPOTENT, received);
         let effects = self.turn(vec![Event::RequestReceived {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,10 +1,10 @@
 //! Settings, configuration and requests shared by the tests of the reducer.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 
 use valehatch_core::permission::Decisions;
-use valehatch_core::{CoreConfig, IncomingRequest, MemoryReservation, Payload};
+use valehatch_core::{CoreConfig, IncomingRequest, Payload};
+use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_policy::{
     Consistency, DedupScope, DiscoveryMode, GroupId, Idempotency, Limits, ListedRole, RequestClass,
     Rules, SessionTracking, Settings, Span, StaleReadPolicy, Time, ZoneId,
@@ -76,12 +76,13 @@
         trace_requests: false,
         upstream_connection_limit: 8,
         health_check_timeout: ms(250),
+        response_limits: None,
     }
 }
 
 /// A request of `class` whose last byte was read at `received`.
 pub(crate) fn incoming_request(
-    memory: &Arc<AtomicUsize>,
+    memory: &Arc<MemoryBudget>,
     class: usize,
     received: Time,
 ) -> IncomingRequest {
@@ -100,7 +101,7 @@
             write: true,
             class,
         }),
-        memory: MemoryReservation::try_acquire(memory, 10, 100).unwrap(),
+        memory: memory.reserve(MemoryUse::Requests, 10),
         client: 1,
     }
 }
--- a/crates/cql/src/clients.rs
+++ b/crates/cql/src/clients.rs
@@ -1,7 +1,7 @@
 //! The server side of the protocol: serves clients. A connection carries many concurrent requests,
 //! and each is answered under its stream id.
 
-use std::io;
+use std::io::{self, Read};
 use std::sync::Arc;
 
 use valehatch_config::Site;
@@ -9,13 +9,14 @@
 use valehatch_core::{Failure, FinalAnswer, IncomingRequest, Payload};
 use valehatch_net::Clock;
 use valehatch_net::clients::{
-    NextInput, RequestHandler, RequestReader, Session, SessionProgress, SessionStatus,
+    BodyError, NextInput, RequestBody, RequestHandler, RequestReader, Session, SessionProgress,
+    SessionStatus,
 };
 use valehatch_policy::{Consistency, GroupId, Span};
 
 use crate::PreparedStatements;
 use crate::decode::{DecodedRequest, check_startup};
-use crate::frame::{Direction, Frame, FrameError, MAX_CLIENT_BODY, RESPONSE_BIT};
+use crate::frame::{Direction, Frame, FrameError, FrameHeader, MAX_CLIENT_BODY, RESPONSE_BIT};
 use crate::opcodes::{error_code, flag, opcode};
 use crate::response_context::ResponseContext;
 use crate::responses::{error, overloaded, put_string, response, supported};
@@ -100,11 +101,7 @@
             Ok(memory) => memory,
             Err(reason) => {
                 session.report_rejection(contract.class, contract.tenant, group, reason);
-                let answer = FinalAnswer::Rejected {
-                    retry_after: self.site.settings.limits.max_retry_after,
-                    overloaded: false,
-                };
-                return session.reply(0, self.encode(context.to_ticket(), answer));
+                return session.reply(0, self.out_of_memory(context.stream_id));
             }
         };
         let payload = Payload {
@@ -121,7 +118,7 @@
                 tenant: contract.tenant,
                 group,
                 session: None,
-                received: self.clock.now(),
+                received: session.received_at(),
                 client_timeout: Span(deadline.0),
                 is_client_retry: false,
                 last_write_at: None,
@@ -132,6 +129,34 @@
         )
     }
 
+    fn out_of_memory(&self, stream_id: i16) -> Vec<u8> {
+        let retry_after = self.site.settings.limits.max_retry_after;
+        overloaded(stream_id, (retry_after.0 / 1000).max(1), false)
+    }
+
+    /// Reads the body of a frame and handles the frame. Without memory for the body, discards its
+    /// bytes as they arrive and rejects the request.
+    fn on_header(
+        &self,
+        header: &FrameHeader,
+        progress: &mut SessionProgress,
+        reader: &mut RequestReader,
+        session: &Session,
+    ) -> io::Result<()> {
+        match reader.read_body(&header.bytes, header.body_length) {
+            Ok(RequestBody { bytes, memory }) => {
+                let handled = self.on_frame(Frame::from_bytes(bytes), progress, session);
+                drop(memory);
+                handled
+            }
+            Err(BodyError::OutOfMemory { unread }) => {
+                io::copy(&mut reader.take(unread as u64), &mut io::sink())?;
+                session.reply(0, self.out_of_memory(header.stream_id()))
+            }
+            Err(BodyError::Io(error)) => Err(error),
+        }
+    }
+
     fn on_frame(
         &self,
         frame: Frame,
@@ -180,8 +205,8 @@
                 NextInput::Pending => return Ok(SessionStatus::Idle),
                 NextInput::Closed => return Ok(SessionStatus::Closed),
             }
-            match Frame::read(reader, Direction::Request, MAX_CLIENT_BODY) {
-                Ok(frame) => self.on_frame(frame, progress, session)?,
+            match FrameHeader::read(reader, Direction::Request, MAX_CLIENT_BODY) {
+                Ok(header) => self.on_header(&header, progress, reader, session)?,
                 Err(e) => return on_frame_error(e, session),
             }
         }
--- a/crates/cql/src/connection_threads.rs
+++ b/crates/cql/src/connection_threads.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use valehatch_core::{Event, UpstreamReply};
+use valehatch_memory_budget::Reservation;
 use valehatch_net::lock;
-use valehatch_policy::Time;
+use valehatch_policy::{Outcome, Time};
 use valehatch_stream_multiplexing::{
     AttemptFailure, FrameOwner, JobId, MultiplexedConnectionId, MultiplexerAction,
 };
@@ -20,6 +21,7 @@
 use crate::frame::{Direction, Frame, FrameError, MAX_ENDPOINT_BODY};
 use crate::opcodes::opcode;
 use crate::pool::MAX_RESPONSE_PAUSE;
+use crate::receive_buffer::{ReceiveBuffer, ReceivedFrame};
 use crate::requests::startup;
 
 /// Read timeout, after which the thread checks for expired timers.
@@ -28,9 +30,6 @@
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Minimum timeout of the handshake; a socket timeout of zero is not allowed.
 const MIN_HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(1);
-/// Capacity in bytes above which an empty receive buffer is freed, so that one large response does
-/// not hold memory permanently.
-const MAX_IDLE_BUFFER: usize = 4 * CHUNK_SIZE;
 
 /// Whether a connection can still be used.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -109,7 +108,7 @@
         connection: MultiplexedConnectionId,
         mut socket: &TcpStream,
     ) {
-        let mut buffer = vec![];
+        let mut buffer = ReceiveBuffer::new(Arc::clone(&self.context.memory));
         let mut chunk = vec![0; CHUNK_SIZE];
         let mut received_at = self.context.clock.now();
         loop {
@@ -120,7 +119,7 @@
                 Ok(0) => return,
                 Ok(length) => {
                     received_at = now;
-                    buffer.extend_from_slice(&chunk[..length]);
+                    buffer.extend(&chunk[..length]);
                     self.on_received(connection, now, &mut buffer, &mut events)
                 }
                 Err(e) if is_temporary(&e) => {
@@ -153,20 +152,21 @@
         self: &Arc<Self>,
         connection: MultiplexedConnectionId,
         now: Time,
-        buffer: &mut Vec<u8>,
+        buffer: &mut ReceiveBuffer,
         events: &mut Vec<Event>,
     ) -> ConnectionStatus {
         self.update(events, |state, actions| {
             state.multiplexer.bytes_received(now, connection, actions);
         });
-        let mut parsed = 0;
         let mut status = ConnectionStatus::Usable;
         while status == ConnectionStatus::Usable {
-            match Frame::parse_response(&buffer[parsed..], MAX_ENDPOINT_BODY) {
+            match buffer.next_frame() {
                 Ok(None) => break,
-                Ok(Some(frame)) => {
-                    parsed += frame.bytes().len();
-                    status = self.on_frame(connection, now, frame, events);
+                Ok(Some(ReceivedFrame::Complete(frame, memory))) => {
+                    status = self.on_frame(connection, now, frame, memory, events);
+                }
+                Ok(Some(ReceivedFrame::Discarded(stream_id))) => {
+                    status = self.on_discarded(connection, now, stream_id, events);
                 }
                 Err(error) => {
                     log_frame_error(&error);
@@ -174,18 +174,44 @@
                 }
             }
         }
-        buffer.drain(..parsed);
-        if buffer.is_empty() && buffer.capacity() > MAX_IDLE_BUFFER {
-            *buffer = vec![];
-        }
+        buffer.free_unused();
         status
     }
 
+    /// Ends the attempt whose response was discarded for lack of memory; its request may have run.
+    fn on_discarded(
+        self: &Arc<Self>,
+        connection: MultiplexedConnectionId,
+        now: Time,
+        stream_id: i16,
+        events: &mut Vec<Event>,
+    ) -> ConnectionStatus {
+        tracing::warn!(
+            stream_id,
+            "no memory for an endpoint's response, discarding it"
+        );
+        let mut state = lock(&self.state);
+        let owner = state.multiplexer.frame_received(now, connection, stream_id);
+        let job = match owner {
+            FrameOwner::Job(job) => job,
+            FrameOwner::Abandoned => return ConnectionStatus::Usable,
+            FrameOwner::Unexpected => return ConnectionStatus::Failed,
+        };
+        let mut actions = vec![];
+        state.exchanges.remove(&job);
+        state.multiplexer.finish(now, job, &mut actions);
+        let reply = UpstreamReply::without_details(Outcome::Cancelled);
+        events.push(attempt_ended(job, reply));
+        self.execute(&mut state, actions, events);
+        ConnectionStatus::Usable
+    }
+
     fn on_frame(
         self: &Arc<Self>,
         connection: MultiplexedConnectionId,
         now: Time,
         frame: Frame,
+        memory: Option<Reservation>,
         events: &mut Vec<Event>,
     ) -> ConnectionStatus {
         if frame.opcode() == opcode::EVENT {
@@ -211,9 +237,10 @@
         match next_step {
             None => state.multiplexer.finish(now, job, &mut actions),
             Some(NextStep::Finished {
-                reply,
+                mut reply,
                 closes_connection,
             }) => {
+                reply.memory = memory;
                 state.exchanges.remove(&job);
                 state.multiplexer.finish(now, job, &mut actions);
                 if closes_connection {
--- a/crates/cql/src/frame.rs
+++ b/crates/cql/src/frame.rs
@@ -90,33 +90,26 @@
     }
 }
 
-impl Frame {
-    /// Encodes a frame of version 4.
-    pub fn new(direction: Direction, flags: u8, stream_id: i16, opcode: u8, body: &[u8]) -> Self {
-        let mut bytes = vec![direction.version_byte(), flags];
-        bytes.extend_from_slice(&stream_id.to_be_bytes());
-        bytes.push(opcode);
-        bytes.extend_from_slice(&u32::try_from(body.len()).unwrap_or(u32::MAX).to_be_bytes());
-        bytes.extend_from_slice(body);
-        Self(bytes)
-    }
-
-    /// Wraps the bytes of a complete frame; they are not validated.
-    pub const fn from_bytes(bytes: Vec<u8>) -> Self {
-        Self(bytes)
-    }
+/// Header of a frame.
+pub(crate) struct FrameHeader {
+    /// The header as encoded on the wire.
+    pub(crate) bytes: [u8; HEADER_LENGTH],
+    /// Length of the body, in bytes.
+    pub(crate) body_length: usize,
+}
 
-    /// Reads a frame whose body has at most `max_body` bytes.
+impl FrameHeader {
+    /// Reads a header that announces at most `max_body` bytes.
     ///
     /// # Errors
     /// The connection was closed or failed, or the frame has another version or a body that is too
-    /// long. The body is not read then.
-    pub fn read(
+    /// long.
+    pub(crate) fn read(
         from: &mut impl Read,
         direction: Direction,
         max_body: usize,
     ) -> Result<Self, FrameError> {
-        let mut bytes = vec![0; HEADER_LENGTH];
+        let mut bytes = [0; HEADER_LENGTH];
         from.read_exact(&mut bytes[..1])?;
         let version = bytes[0];
         if version != direction.version_byte() {
@@ -130,30 +123,73 @@
             return Err(FrameError::UnsupportedVersion { version, stream_id });
         }
         from.read_exact(&mut bytes[1..])?;
-        let length = checked_body_length(&bytes, max_body)?;
-        bytes.reserve(length.min(INITIAL_BODY_CAPACITY));
-        if from.take(length as u64).read_to_end(&mut bytes)? < length {
-            return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
-        }
-        Ok(Self(bytes))
+        let body_length = checked_body_length(&bytes, max_body)?;
+        Ok(Self { bytes, body_length })
     }
 
-    /// Copies a response from the front of `received`; `None` while it is incomplete.
+    /// Decodes the header of a response that has been received; `None` while it is incomplete.
     ///
     /// # Errors
     /// The frame is not a response of version 4, or its body exceeds `max_body` bytes.
-    pub fn parse_response(received: &[u8], max_body: usize) -> Result<Option<Self>, FrameError> {
-        let Some(header) = received.get(..HEADER_LENGTH) else {
+    pub(crate) fn parse_response(
+        received: &[u8],
+        max_body: usize,
+    ) -> Result<Option<Self>, FrameError> {
+        let Some(bytes) = received.first_chunk::<HEADER_LENGTH>() else {
             return Ok(None);
         };
-        let version = header[0];
+        let version = bytes[0];
         if version != Direction::Response.version_byte() {
-            let stream_id = stream_id(header);
+            let stream_id = stream_id(bytes);
             return Err(FrameError::UnsupportedVersion { version, stream_id });
         }
-        let length = checked_body_length(header, max_body)?;
-        let frame = received.get(..HEADER_LENGTH + length);
-        Ok(frame.map(|bytes| Self(bytes.to_vec())))
+        let body_length = checked_body_length(bytes, max_body)?;
+        Ok(Some(Self {
+            bytes: *bytes,
+            body_length,
+        }))
+    }
+
+    /// Stream id, which a response shares with its request.
+    pub(crate) fn stream_id(&self) -> i16 {
+        stream_id(&self.bytes)
+    }
+}
+
+impl Frame {
+    /// Encodes a frame of version 4.
+    pub fn new(direction: Direction, flags: u8, stream_id: i16, opcode: u8, body: &[u8]) -> Self {
+        let mut bytes = vec![direction.version_byte(), flags];
+        bytes.extend_from_slice(&stream_id.to_be_bytes());
+        bytes.push(opcode);
+        bytes.extend_from_slice(&u32::try_from(body.len()).unwrap_or(u32::MAX).to_be_bytes());
+        bytes.extend_from_slice(body);
+        Self(bytes)
+    }
+
+    /// Wraps the bytes of a complete frame; they are not validated.
+    pub const fn from_bytes(bytes: Vec<u8>) -> Self {
+        Self(bytes)
+    }
+
+    /// Reads a frame whose body has at most `max_body` bytes.
+    ///
+    /// # Errors
+    /// The connection was closed or failed, or the frame has another version or a body that is too
+    /// long. The body is not read then.
+    pub fn read(
+        from: &mut impl Read,
+        direction: Direction,
+        max_body: usize,
+    ) -> Result<Self, FrameError> {
+        let header = FrameHeader::read(from, direction, max_body)?;
+        let length = header.body_length;
+        let mut bytes = header.bytes.to_vec();
+        bytes.reserve(length.min(INITIAL_BODY_CAPACITY));
+        if from.take(length as u64).read_to_end(&mut bytes)? < length {
+            return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
+        }
+        Ok(Self(bytes))
     }
 
     /// Stream id, which a response shares with its request.
--- a/crates/cql/src/lib.rs
+++ b/crates/cql/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod pool;
 pub mod prepared_statements;
 pub mod reader;
+mod receive_buffer;
 pub mod requests;
 mod response_context;
 pub mod responses;
--- a/crates/cql/src/pool.rs
+++ b/crates/cql/src/pool.rs
@@ -12,6 +12,7 @@
 
 use crossbeam_channel::Sender;
 use valehatch_core::{ConnectionId, Event, UpstreamJob};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::upstream::Upstream;
 use valehatch_policy::Span;
@@ -21,6 +22,7 @@
 use crate::PreparedStatements;
 use crate::endpoint::Endpoint;
 use crate::exchange::Exchange;
+pub use crate::receive_buffer::MAX_BUFFERED_RESPONSE_BYTES;
 
 /// Maximum stall of a response that has begun.
 pub(crate) const MAX_RESPONSE_PAUSE: Span = Span::from_millis(400);
@@ -41,6 +43,7 @@
     /// Number of open connections to all endpoints.
     pub(crate) open_connections: AtomicUsize,
     pub(crate) max_connections: usize,
+    pub(crate) memory: Arc<MemoryBudget>,
 }
 
 impl UpstreamContext {
@@ -53,6 +56,26 @@
     }
 }
 
+/// Settings and services that the pools are created with.
+pub struct PoolConfig {
+    /// Statements prepared by clients, shared with the clients' handler.
+    pub prepared: Arc<PreparedStatements>,
+    /// Event queue of the core.
+    pub events: Sender<Event>,
+    /// Clock shared with the core.
+    pub clock: Clock,
+    /// Maximum time for connecting and the handshake together.
+    pub connect_timeout: Duration,
+    /// Idle time after which a connection is closed.
+    pub idle_timeout: Span,
+    /// Maximum number of connections to all endpoints together.
+    pub max_connections: usize,
+    /// Counts attempts whose first frame was written completely, if metrics are collected.
+    pub metrics: Option<Arc<OutcomeMetrics>>,
+    /// Budget of the front, for responses larger than [`MAX_BUFFERED_RESPONSE_BYTES`].
+    pub memory: Arc<MemoryBudget>,
+}
+
 /// The endpoints of a front, by address and by the core's connection id.
 pub struct EndpointPools {
     context: Arc<UpstreamContext>,
@@ -63,37 +86,27 @@
 }
 
 impl EndpointPools {
-    /// Creates pools without connections. `connect_timeout` covers connecting and the handshake. At
-    /// most `max_connections` are open to all endpoints together; an idle connection is closed
-    /// after `idle_timeout`. Attempts whose first frame was written completely are counted in
-    /// `metrics`.
+    /// Creates pools without connections.
     ///
     /// # Errors
     /// A timeout is out of range.
-    pub fn new(
-        prepared: Arc<PreparedStatements>,
-        events: Sender<Event>,
-        clock: Clock,
-        connect_timeout: Duration,
-        idle_timeout: Span,
-        max_connections: usize,
-        metrics: Option<Arc<OutcomeMetrics>>,
-    ) -> Result<Self, SettingsError> {
+    pub fn new(config: PoolConfig) -> Result<Self, SettingsError> {
         let connect_micros =
-            i64::try_from(connect_timeout.as_micros()).unwrap_or(FALLBACK_CONNECT_MICROS);
+            i64::try_from(config.connect_timeout.as_micros()).unwrap_or(FALLBACK_CONNECT_MICROS);
         let request_timeout = Span(connect_micros).min(MAX_RESPONSE_PAUSE);
-        let settings = Settings::new(request_timeout, idle_timeout);
+        let settings = Settings::new(request_timeout, config.idle_timeout);
         // Validated here, since there is no caller to report an error to later.
         StreamMultiplexer::new(settings)?;
         let context = UpstreamContext {
-            prepared,
-            events,
-            clock,
-            connect_timeout,
+            prepared: config.prepared,
+            events: config.events,
+            clock: config.clock,
+            connect_timeout: config.connect_timeout,
             settings,
-            metrics,
+            metrics: config.metrics,
             open_connections: AtomicUsize::new(0),
-            max_connections,
+            max_connections: config.max_connections,
+            memory: config.memory,
         };
         Ok(Self {
             context: Arc::new(context),
--- a/crates/cql/tests/malformed_response.rs
+++ b/crates/cql/tests/malformed_response.rs
@@ -9,7 +9,8 @@
 use valehatch_core::{ConnectionId, Event, Payload, UpstreamJob};
 use valehatch_cql::frame::{Direction, Frame, MAX_ENDPOINT_BODY};
 use valehatch_cql::opcodes::opcode;
-use valehatch_cql::pool::EndpointPools;
+use valehatch_cql::pool::{EndpointPools, PoolConfig};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::upstream::Upstream;
 use valehatch_policy::Span;
@@ -48,15 +49,16 @@
     // The channel has no capacity, so the sending thread blocks until the event is received here.
     let (events, inbox) = crossbeam_channel::bounded(0);
     let (request_timeout, idle) = (Duration::from_secs(10), Span::from_millis(60_000));
-    let mut pools = EndpointPools::new(
-        Arc::default(),
+    let mut pools = EndpointPools::new(PoolConfig {
+        prepared: Arc::default(),
         events,
-        Clock::start(),
-        request_timeout,
-        idle,
-        8,
-        None,
-    )
+        clock: Clock::start(),
+        connect_timeout: request_timeout,
+        idle_timeout: idle,
+        max_connections: 8,
+        metrics: None,
+        memory: Arc::new(MemoryBudget::new(1024 * 1024)),
+    })
     .unwrap();
     for n in 1..=2 {
         let query = Frame::new(
--- a/crates/cql/tests/slow_endpoint.rs
+++ b/crates/cql/tests/slow_endpoint.rs
@@ -10,7 +10,8 @@
 use valehatch_core::permission::SendPermit;
 use valehatch_core::{ConnectionId, Event, Payload, UpstreamJob};
 use valehatch_cql::PreparedStatements;
-use valehatch_cql::pool::EndpointPools;
+use valehatch_cql::pool::{EndpointPools, PoolConfig};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::upstream::Upstream;
 use valehatch_policy::{Outcome, Span};
@@ -61,15 +62,16 @@
     );
     let (timeout, idle) = (Duration::from_secs(5), Span::from_millis(60_000));
     let prepared = Arc::<PreparedStatements>::default();
-    let mut pools = EndpointPools::new(
+    let mut pools = EndpointPools::new(PoolConfig {
         prepared,
         events,
         clock,
-        timeout,
-        idle,
-        1,
-        Some(Arc::clone(&metrics)),
-    )
+        connect_timeout: timeout,
+        idle_timeout: idle,
+        max_connections: 1,
+        metrics: Some(Arc::clone(&metrics)),
+        memory: Arc::new(MemoryBudget::new(1024 * 1024)),
+    })
     .unwrap();
     let (allow_read, may_read) = bounded(1);
     let stub = thread::spawn(move || run_stub_endpoint(&listener, &may_read));
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,7 +9,10 @@
 use valehatch_config::Site;
 use valehatch_config::operators::AdmissionSettings;
 use valehatch_core::permission::Decisions;
-use valehatch_core::{CoreConfig, Effect, Event, LiveView, LogEvent, Observability, State};
+use valehatch_core::{
+    CoreConfig, Effect, Event, LiveView, LogEvent, Observability, ResponseLimits, State,
+};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::clients::{BacklogOwner, ClientLimits, Clients, RequestHandler};
 use valehatch_net::connection_limits::SharedConnectionLimiter;
 use valehatch_net::upstream::Upstream;
@@ -21,7 +24,7 @@
 
 use crate::error::StartError;
 use crate::recovery::{SharedService, count_outcome};
-use crate::resources::{request_memory, upstream_connections};
+use crate::resources::upstream_connections;
 
 /// Health check timeout in milliseconds, used if the configured connect timeout does not fit into a
 /// [`Span`].
@@ -71,8 +74,10 @@
     pub(crate) site: Site,
     /// Number of descriptors that the front may use.
     pub(crate) descriptors: usize,
-    /// Memory that the front may use, in MiB.
-    pub(crate) memory_mb: usize,
+    /// Budget of the bytes that are held for the front's clients.
+    pub(crate) memory: Arc<MemoryBudget>,
+    /// Maximum size in bytes of a response that is buffered without a further reservation.
+    pub(crate) response_bytes: usize,
     /// Seed of the core's random number generator.
     pub(crate) seed: u64,
     /// Socket that clients connect to.
@@ -132,10 +137,14 @@
             health_check_timeout: Span::from_millis(
                 health_check_timeout_ms.unwrap_or(DEFAULT_HEALTH_CHECK_TIMEOUT_MS),
             ),
+            response_limits: Some(ResponseLimits {
+                budget: Arc::clone(&parts.memory),
+                response_bytes: parts.response_bytes,
+            }),
         };
         let state = State::new(config, parts.seed).map_err(StartError::configuration)?;
         let limits = ClientLimits {
-            memory_bytes: request_memory(parts.memory_mb * 1024 * 1024),
+            memory: parts.memory,
             reports_rejections: has_observer,
         };
         let (events, inbox) = parts.inbox;
@@ -228,7 +237,8 @@
                 ticket,
                 answer,
                 after,
-            } => self.clients.answer(client, ticket, answer, after),
+                memory,
+            } => self.clients.answer(client, ticket, answer, after, memory),
             Effect::CloseClient(client) => self.clients.close_if_idle(client),
             Effect::CloseIdleClients => self.clients.close_all_idle(),
             Effect::StopListening => self.clients.stop_accepting(BacklogOwner::ThisProcess),
--- a/crates/gateway/src/hot_restart.rs
+++ b/crates/gateway/src/hot_restart.rs
@@ -16,19 +16,21 @@
 use tracing::{info, warn};
 use valehatch_core::Event;
 use valehatch_hot_restart::ProcessLimits;
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::clients::{AddressSharing, BacklogOwner, Clients, bind_listener};
 use valehatch_net::connection_limits::SharedConnectionLimiter;
 use valehatch_net::hot_restart::{
     HandoffHandle, HandoffHandler, HandoffOutcome, HotRestart, request_handoff,
 };
+use valehatch_pg::upstream::MAX_BUFFERED_RESPONSE_BYTES;
 use valehatch_recovery::endpoint_list::EndpointListCache;
 use valehatch_recovery::snapshot::Snapshot;
 
 use crate::error::StartError;
 use crate::recovery::{RecoverableFront, decode_inherited, unix_ms};
 use crate::resources::{
-    RESERVED_DESCRIPTORS, platform_limits, request_memory, upstream_connections,
+    FrontResources, RESERVED_DESCRIPTORS, platform_limits, resident_bytes, upstream_connections,
 };
 
 /// Name of the platform's front in snapshots.
@@ -157,6 +159,8 @@
     pub(crate) events: Sender<Event>,
     /// Client connections of the front.
     pub(crate) clients: Arc<Clients>,
+    /// Budget of the bytes that are held for clients.
+    pub(crate) memory: Arc<MemoryBudget>,
     /// Limiter of client and upstream connections.
     pub(crate) connections: Arc<SharedConnectionLimiter>,
     /// Source of the snapshot.
@@ -187,13 +191,9 @@
 impl HandoffHandler for SharedProcess {
     fn usage(&self) -> ProcessLimits {
         let open = self.connections.counts();
-        let resident_pages = procfs::process::Process::myself()
-            .and_then(|process| process.statm())
-            .map_or(0, |memory| memory.resident);
-        let resident_bytes = resident_pages * procfs::page_size();
         ProcessLimits {
             descriptors: RESERVED_DESCRIPTORS + open.clients + open.upstream,
-            bytes: usize::try_from(resident_bytes).unwrap_or(0),
+            bytes: resident_bytes(),
         }
     }
 
@@ -214,8 +214,11 @@
         // Open connections are not closed to meet a smaller limit; the number falls as connections
         // become idle.
         let descriptors = limits.descriptors.max(self.usage().descriptors);
-        self.connections.resize(platform_limits(descriptors));
-        self.clients.set_memory_limit(request_memory(limits.bytes));
+        self.memory.set_memory(limits.bytes);
+        self.connections.resize(platform_limits(FrontResources {
+            descriptors,
+            max_active_clients: self.memory.max_active_clients(MAX_BUFFERED_RESPONSE_BYTES),
+        }));
         let upstream = upstream_connections(limits.descriptors);
         let _ = self.events.send(Event::UpstreamConnectionLimit(upstream));
         let gateways = self.gateway_count.saturating_mul(processes);
--- a/crates/gateway/src/operators.rs
+++ b/crates/gateway/src/operators.rs
@@ -34,7 +34,7 @@
 use crate::platform::has_endpoints;
 use crate::protocols::protocol_stack;
 use crate::recovery::{self, RecoverableFront, SharedEndpointList, SharedService, unix_ms};
-use crate::resources::EVENT_QUEUE_LENGTH;
+use crate::resources::{EVENT_QUEUE_LENGTH, memory_budget};
 use crate::snapshot_writer::SnapshotWriter;
 use crate::status::ProcessStatus;
 
@@ -154,7 +154,9 @@
         let front = &self.file.fronts[index];
         let metrics = self.file.management.map(|_| self.status.metrics(index));
         let events = channels.inbox.0.clone();
-        let protocol = protocol_stack(front, self.clock, events, metrics.clone())
+        let memory = memory_budget(front.memory_mb);
+        self.status.set_memory(index, &memory);
+        let protocol = protocol_stack(front, self.clock, events, metrics.clone(), &memory)
             .map_err(StartError::resource(format!("front.{index}")))?;
         let seed =
             self.clock.now().0.unsigned_abs() ^ u64::from(std::process::id()) << 32 ^ index as u64;
@@ -165,7 +167,8 @@
         let parts = FrontParts {
             site: front.site.clone(),
             descriptors: front.sockets,
-            memory_mb: front.memory_mb,
+            memory,
+            response_bytes: protocol.response_bytes,
             seed,
             listener: bind_listener(front.listen, AddressSharing::Exclusive)
                 .map_err(StartError::resource(key))?,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -15,11 +15,13 @@
 use valehatch_config::{PlatformConfig, Site};
 use valehatch_core::Event;
 use valehatch_hot_restart::ProcessLimits;
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::connection_limits::SharedConnectionLimiter;
 use valehatch_net::discovery::{AgentLocation, DiscoveryAddress, DiscoveryPoller, PollerConfig};
 use valehatch_net::hot_restart::HandoffHandle;
 use valehatch_net::upstream::EndpointPools;
 use valehatch_net::{Clock, signals};
+use valehatch_pg::upstream::MAX_BUFFERED_RESPONSE_BYTES;
 use valehatch_policy::StaleReadPolicy;
 use valehatch_recovery::endpoint_list::ListVersion;
 use valehatch_request_log::OutcomeMetrics;
@@ -29,7 +31,7 @@
 use crate::front::{Front, FrontParts, admission_settings};
 use crate::hot_restart::{self, Inheritance, PLATFORM_FRONT, SharedProcess};
 use crate::recovery::{RecoverableFront, SharedEndpointList, restore_front};
-use crate::resources::{EVENT_QUEUE_LENGTH, platform_limits};
+use crate::resources::{EVENT_QUEUE_LENGTH, FrontResources, memory_budget, platform_limits};
 use crate::status::ProcessStatus;
 
 /// Index of the platform's only front.
@@ -161,6 +163,7 @@
     discovery_address: Arc<DiscoveryAddress>,
     handoff: HandoffHandleCell,
     connections: Arc<SharedConnectionLimiter>,
+    memory: Arc<MemoryBudget>,
     board: Arc<ArcSwapOption<CoreSnapshot>>,
 }
 
@@ -168,7 +171,13 @@
     /// Starts the clock, and the management endpoint if one is configured.
     fn new(config: PlatformConfig, path: String) -> Result<Self, StartError> {
         let clock = Clock::start();
+        let memory = memory_budget(config.memory_mb);
+        let resources = FrontResources {
+            descriptors: config.sockets,
+            max_active_clients: memory.max_active_clients(MAX_BUFFERED_RESPONSE_BYTES),
+        };
         let status = ProcessStatus::new([(Arc::from(config.name.as_str()), &config.site)]);
+        status.set_memory(FRONT_INDEX, &memory);
         if let Some(address) = config.management {
             status.serve("mgmt", address)?;
         }
@@ -179,7 +188,8 @@
             status,
             discovery_address: Arc::new(DiscoveryAddress::new(config.discovery)),
             handoff: HandoffHandleCell::default(),
-            connections: SharedConnectionLimiter::new(clock, platform_limits(config.sockets)),
+            connections: SharedConnectionLimiter::new(clock, platform_limits(resources)),
+            memory,
             board: Arc::default(),
             config,
         })
@@ -241,7 +251,8 @@
             admission: admission
                 .map(|sizes| admission_settings(sizes, &site, tenant_weights(&site))),
             descriptors: config.sockets,
-            memory_mb: config.memory_mb,
+            memory: Arc::clone(&self.memory),
+            response_bytes: MAX_BUFFERED_RESPONSE_BYTES,
             seed: config.seed,
             listener,
             clock,
@@ -301,6 +312,7 @@
             gateway_count: config.site.settings.routers,
             events: self.inbox.0.clone(),
             clients: front.clients(),
+            memory: Arc::clone(&self.memory),
             connections: Arc::clone(&self.connections),
             front: RecoverableFront {
                 name: PLATFORM_FRONT.to_owned(),
--- a/crates/gateway/src/protocols.rs
+++ b/crates/gateway/src/protocols.rs
@@ -6,6 +6,8 @@
 use crossbeam_channel::Sender;
 use valehatch_config::operators::{FrontSettings, Protocol};
 use valehatch_core::Event;
+use valehatch_cql::pool::PoolConfig;
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::clients::RequestHandler;
 use valehatch_net::connection_limits::SharedConnectionLimiter;
@@ -13,7 +15,9 @@
 use valehatch_request_log::OutcomeMetrics;
 
 use crate::error::Source;
-use crate::resources::{UpstreamAccounting, connection_limiter, upstream_connections};
+use crate::resources::{
+    FrontResources, UpstreamAccounting, connection_limiter, upstream_connections,
+};
 
 /// Both sides of a front's protocol, and the limiter of its connections.
 pub(crate) struct ProtocolStack {
@@ -26,6 +30,8 @@
     /// Maximum of concurrent requests, if one upstream connection carries several; `None` if each
     /// connection carries one.
     pub(crate) max_in_flight: Option<usize>,
+    /// Maximum size in bytes of a response that is buffered without a further reservation.
+    pub(crate) response_bytes: usize,
 }
 
 /// Builds the protocol stack of a front from the operators' file.
@@ -37,10 +43,11 @@
     clock: Clock,
     events: Sender<Event>,
     metrics: Option<Arc<OutcomeMetrics>>,
+    memory: &Arc<MemoryBudget>,
 ) -> Result<ProtocolStack, Source> {
     match front.protocol {
-        Protocol::Postgresql => Ok(postgresql(front, clock, events, metrics)),
-        Protocol::Cassandra => cassandra(front, clock, events, metrics),
+        Protocol::Postgresql => Ok(postgresql(front, clock, events, metrics, memory)),
+        Protocol::Cassandra => cassandra(front, clock, events, metrics, memory),
     }
 }
 
@@ -49,10 +56,16 @@
     clock: Clock,
     events: Sender<Event>,
     metrics: Option<Arc<OutcomeMetrics>>,
+    memory: &Arc<MemoryBudget>,
 ) -> ProtocolStack {
+    let response_bytes = valehatch_pg::upstream::MAX_BUFFERED_RESPONSE_BYTES;
     let site = front.site.clone();
     let connect_timeout = Duration::from_millis(site.connect_timeout_ms);
-    let connections = connection_limiter(clock, front.sockets, UpstreamAccounting::Shared);
+    let resources = FrontResources {
+        descriptors: front.sockets,
+        max_active_clients: memory.max_active_clients(response_bytes),
+    };
+    let connections = connection_limiter(clock, resources, UpstreamAccounting::Shared);
     let protocol = Arc::new(valehatch_pg::upstream::PostgresProtocol { clock });
     let pools = EndpointPools::new(
         protocol,
@@ -66,6 +79,7 @@
         upstream: Box::new(pools.count_attempts(metrics)),
         connections,
         max_in_flight: None,
+        response_bytes,
     }
 }
 
@@ -74,21 +88,28 @@
     clock: Clock,
     events: Sender<Event>,
     metrics: Option<Arc<OutcomeMetrics>>,
+    memory: &Arc<MemoryBudget>,
 ) -> Result<ProtocolStack, Source> {
+    let response_bytes = valehatch_cql::pool::MAX_BUFFERED_RESPONSE_BYTES;
+    let resources = FrontResources {
+        descriptors: front.sockets,
+        max_active_clients: memory.max_active_clients(response_bytes),
+    };
     let site = front.site.clone();
     let limits = &site.settings.limits;
     let connect_timeout = Duration::from_millis(site.connect_timeout_ms);
     let max_in_flight = limits.max_open_requests.max(1);
     let prepared = Arc::new(valehatch_cql::PreparedStatements::default());
-    let pools = valehatch_cql::pool::EndpointPools::new(
-        Arc::clone(&prepared),
+    let pools = valehatch_cql::pool::EndpointPools::new(PoolConfig {
+        prepared: Arc::clone(&prepared),
         events,
         clock,
         connect_timeout,
-        limits.idle_connection_timeout,
-        upstream_connections(front.sockets),
+        idle_timeout: limits.idle_connection_timeout,
+        max_connections: upstream_connections(front.sockets),
         metrics,
-    )?;
+        memory: Arc::clone(memory),
+    })?;
     let handler = valehatch_cql::clients::CqlRequestHandler {
         site,
         contracts: front.contracts.clone(),
@@ -98,7 +119,8 @@
     Ok(ProtocolStack {
         handler: Arc::new(handler),
         upstream: Box::new(pools),
-        connections: connection_limiter(clock, front.sockets, UpstreamAccounting::Separate),
+        connections: connection_limiter(clock, resources, UpstreamAccounting::Separate),
         max_in_flight: Some(max_in_flight),
+        response_bytes,
     })
 }
--- a/crates/gateway/src/resources.rs
+++ b/crates/gateway/src/resources.rs
@@ -7,16 +7,17 @@
 use std::sync::Arc;
 
 use valehatch_connection_limits::{ANSWER_SETTLE_TIME, ConnectionLimits};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::connection_limits::SharedConnectionLimiter;
 use valehatch_policy::Span;
 
+/// Bytes in a MiB.
+const MIB: usize = 1024 * 1024;
 /// Capacity of a core's event queue; a sender blocks while the queue is full.
 pub(crate) const EVENT_QUEUE_LENGTH: usize = 8192;
 /// Descriptors reserved for everything except client and upstream connections.
 pub(crate) const RESERVED_DESCRIPTORS: usize = 32;
-/// Open requests may use the memory divided by this.
-const REQUEST_MEMORY_DIVISOR: usize = 8;
 /// Clients and upstream connections may borrow the reserved descriptors divided by this.
 const OVERFLOW_DESCRIPTORS_DIVISOR: usize = 4;
 /// Platform clients with open requests may hold at most the descriptors divided by this.
@@ -33,9 +34,26 @@
     Separate,
 }
 
-/// Bytes that open requests may use, given the total memory in bytes.
-pub(crate) const fn request_memory(memory: usize) -> usize {
-    memory / REQUEST_MEMORY_DIVISOR
+/// What a front may use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FrontResources {
+    /// Number of descriptors.
+    pub(crate) descriptors: usize,
+    /// Number of clients whose responses fit into the memory.
+    pub(crate) max_active_clients: usize,
+}
+
+/// Memory budget of a front, given its memory in MiB.
+pub(crate) fn memory_budget(memory_mb: usize) -> Arc<MemoryBudget> {
+    Arc::new(MemoryBudget::new(memory_mb * MIB))
+}
+
+/// Resident memory of this process in bytes; 0 if it cannot be read.
+pub(crate) fn resident_bytes() -> usize {
+    let resident_pages = procfs::process::Process::myself()
+        .and_then(|process| process.statm())
+        .map_or(0, |memory| memory.resident);
+    usize::try_from(resident_pages * procfs::page_size()).unwrap_or(0)
 }
 
 /// Maximum of upstream connections, given the total of descriptors.
@@ -46,17 +64,19 @@
 /// Creates the limiter of a front's connections.
 pub(crate) fn connection_limiter(
     clock: Clock,
-    descriptors: usize,
+    resources: FrontResources,
     accounting: UpstreamAccounting,
 ) -> Arc<SharedConnectionLimiter> {
-    SharedConnectionLimiter::new(clock, connection_limits(descriptors, accounting))
+    SharedConnectionLimiter::new(clock, connection_limits(resources, accounting))
 }
 
 /// Connection limits of the platform's front.
-pub(crate) fn platform_limits(descriptors: usize) -> ConnectionLimits {
+pub(crate) fn platform_limits(resources: FrontResources) -> ConnectionLimits {
+    let limits = connection_limits(resources, UpstreamAccounting::Shared);
+    let active_clients = resources.descriptors / ACTIVE_CLIENTS_DIVISOR;
     ConnectionLimits {
-        active_clients: descriptors / ACTIVE_CLIENTS_DIVISOR,
-        ..connection_limits(descriptors, UpstreamAccounting::Shared)
+        active_clients: active_clients.min(limits.active_clients),
+        ..limits
     }
 }
 
@@ -68,7 +88,14 @@
     }
 }
 
-fn connection_limits(descriptors: usize, accounting: UpstreamAccounting) -> ConnectionLimits {
+fn connection_limits(
+    resources: FrontResources,
+    accounting: UpstreamAccounting,
+) -> ConnectionLimits {
+    let FrontResources {
+        descriptors,
+        max_active_clients,
+    } = resources;
     let upstream = upstream_connections(descriptors);
     let overflow = reserved(descriptors) / OVERFLOW_DESCRIPTORS_DIVISOR;
     match accounting {
@@ -76,7 +103,7 @@
             total: descriptors - reserved(descriptors),
             overflow,
             upstream,
-            active_clients: usize::MAX,
+            active_clients: max_active_clients,
             settle_time: ANSWER_SETTLE_TIME,
         },
         // Only Cassandra fronts count separately. The Cassandra protocol has no closing error: a
@@ -86,7 +113,7 @@
             total: upstream,
             overflow,
             upstream: 0,
-            active_clients: usize::MAX,
+            active_clients: max_active_clients,
             settle_time: SILENT_CLOSE_SETTLE_TIME,
         },
     }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,22 +1,30 @@
 //! Status of this process for the management address: readiness and counters.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
 
 use tracing::info;
 use valehatch_config::Site;
 use valehatch_core::permission::Decisions;
 use valehatch_management::{ManagementEndpoint, Source};
+use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_request_log::{OutcomeMetrics, outcome_metrics};
 
 use crate::error::StartError;
+use crate::resources::resident_bytes;
+
+/// Prefix of the names of the memory figures.
+const MEMORY_PREFIX: &str = "balancer.memory";
 
 /// Counters of one front, and whether the front has an endpoint list.
 struct FrontStatus {
     name: Arc<str>,
     metrics: Arc<OutcomeMetrics>,
     decisions: Arc<Decisions>,
+    /// Set once the front has started.
+    memory: OnceLock<Arc<MemoryBudget>>,
     has_endpoint_list: AtomicBool,
 }
 
@@ -37,6 +45,7 @@
                 name,
                 metrics: Arc::new(OutcomeMetrics::new(&site.classes)),
                 decisions: Arc::default(),
+                memory: OnceLock::new(),
                 has_endpoint_list: AtomicBool::new(false),
             })
             .collect();
@@ -59,6 +68,15 @@
         Ok(())
     }
 
+    /// Concatenates the texts of all fronts; each has its name above it if there are several.
+    fn text_by_front(&self, text: impl Fn(&FrontStatus) -> String) -> String {
+        let with_name = |front: &FrontStatus| match self.fronts.len() {
+            1 => text(front),
+            _ => format!("front {}\n{}", front.name, text(front)),
+        };
+        self.fronts.iter().map(with_name).collect()
+    }
+
     /// Outcome counters of a front.
     pub(crate) fn metrics(&self, front: usize) -> Arc<OutcomeMetrics> {
         Arc::clone(&self.fronts[front].metrics)
@@ -69,6 +87,11 @@
         Arc::clone(&self.fronts[front].decisions)
     }
 
+    /// Records the memory budget of a front.
+    pub(crate) fn set_memory(&self, front: usize, memory: &Arc<MemoryBudget>) {
+        let _ = self.fronts[front].memory.set(Arc::clone(memory));
+    }
+
     /// Records that a front has an endpoint list.
     pub(crate) fn on_endpoint_list(&self, front: usize) {
         let front = &self.fronts[front];
@@ -86,6 +109,22 @@
     }
 }
 
+impl FrontStatus {
+    /// The front's memory limit and what it holds for its callers, in bytes.
+    fn memory_text(&self) -> String {
+        let mut text = String::new();
+        let Some(memory) = self.memory.get() else {
+            return text;
+        };
+        let _ = writeln!(text, "{MEMORY_PREFIX}.limit:{}|g", memory.memory());
+        for usage in MemoryUse::ALL {
+            let (name, used) = (usage.name(), memory.used(usage));
+            let _ = writeln!(text, "{MEMORY_PREFIX}.held.{name}:{used}|g");
+        }
+        text
+    }
+}
+
 impl Source for ProcessStatus {
     fn health(&self) -> Result<String, String> {
         let is_set = |flag: &AtomicBool| flag.load(Ordering::Relaxed);
@@ -110,11 +149,12 @@
     }
 
     fn decisions(&self) -> String {
-        let text = |front: &FrontStatus| match self.fronts.len() {
-            1 => front.decisions.text(),
-            _ => format!("front {}\n{}", front.name, front.decisions.text()),
-        };
-        self.fronts.iter().map(text).collect()
+        self.text_by_front(|front| front.decisions.text())
+    }
+
+    fn memory(&self) -> String {
+        let resident = format!("{MEMORY_PREFIX}.resident:{}|g\n", resident_bytes());
+        resident + &self.text_by_front(FrontStatus::memory_text)
     }
 
     fn stats(&self) -> String {
--- a/crates/management/src/lib.rs
+++ b/crates/management/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The endpoint answers in bounded time, independent of the load of the process and of other
 //! clients: it has its own thread, a fixed number of connections and no blocking operation. Paths:
-//! `/admin/health`, `/admin/stats`, `/admin/decisions`.
+//! `/admin/health`, `/admin/stats`, `/admin/decisions`, `/admin/memory`.
 
 #![forbid(unsafe_code)]
 
@@ -35,6 +35,8 @@
     fn stats(&self) -> String;
     /// Counts of denials by reason and of violated invariants, one per line.
     fn decisions(&self) -> String;
+    /// Memory of the process, and what is held for callers by use, one figure per line.
+    fn memory(&self) -> String;
 }
 
 /// Address and limits of the endpoint.
--- a/crates/management/src/request.rs
+++ b/crates/management/src/request.rs
@@ -19,6 +19,8 @@
     Stats,
     /// `/admin/decisions`
     Decisions,
+    /// `/admin/memory`
+    Memory,
 }
 
 /// Whether the response includes its body, which it omits for HEAD.
@@ -67,6 +69,7 @@
             "/admin/health" => Resource::Health,
             "/admin/stats" => Resource::Stats,
             "/admin/decisions" => Resource::Decisions,
+            "/admin/memory" => Resource::Memory,
             _ => return Self::Rejected(404, body),
         };
         match method {
@@ -102,6 +105,7 @@
             },
             Self::Read(Resource::Stats, _) => (200, source.stats()),
             Self::Read(Resource::Decisions, _) => (200, source.decisions()),
+            Self::Read(Resource::Memory, _) => (200, source.memory()),
             Self::Rejected(status, _) => (status, reason(status).to_lowercase()),
             Self::Incomplete => (408, reason(408).to_lowercase()),
         }
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -7,16 +7,17 @@
 //! receive all of it at once, a separate thread writes the rest. State: one connection object per
 //! client, kept in the registry and bounded in number by the connection limiter.
 
-mod buffer_budget;
 mod connection;
 mod idle;
 mod listener;
 mod registry;
+mod request_body;
 mod response_body;
 mod session;
 mod write_queue;
 
 pub use listener::{AddressSharing, bind_listener};
+pub use request_body::{BodyError, RequestBody};
 pub use response_body::ResponseBody;
 pub(crate) use response_body::STREAMING_SOCKET_BUFFER;
 pub use session::{RequestReader, Session};
@@ -29,7 +30,8 @@
 use crossbeam_channel::Sender;
 
 use valehatch_connection_limits::ANSWER_SETTLE_TIME;
-use valehatch_core::{AfterAnswer, ClientId, Event, FinalAnswer};
+use valehatch_core::{AfterAnswer, ClientId, Event, FinalAnswer, ResponseMemory};
+use valehatch_memory_budget::MemoryBudget;
 use valehatch_policy::Span;
 
 use crate::Clock;
@@ -112,12 +114,11 @@
     OtherProcess,
 }
 
-/// Memory limits and reporting options of a front's clients.
-#[derive(Clone, Copy, Debug)]
+/// Memory budget and reporting options of a front's clients.
+#[derive(Clone, Debug)]
 pub struct ClientLimits {
-    /// Limit in bytes for requests in flight. Responses that wait to be written have a separate
-    /// limit of the same size.
-    pub memory_bytes: usize,
+    /// Budget of all bytes that are held for the clients.
+    pub memory: Arc<MemoryBudget>,
     /// Whether requests that are rejected or abandoned before they reach the core are reported to
     /// the core.
     pub reports_rejections: bool,
@@ -168,8 +169,15 @@
     }
 
     /// Queues the final answer to a request. Never blocks; if the client has disconnected, the
-    /// answer is dropped.
-    pub fn answer(&self, client: ClientId, ticket: u64, answer: FinalAnswer, after: AfterAnswer) {
+    /// answer is dropped. `memory` is held until the answer is written.
+    pub fn answer(
+        &self,
+        client: ClientId,
+        ticket: u64,
+        answer: FinalAnswer,
+        after: AfterAnswer,
+        mut memory: ResponseMemory,
+    ) {
         let Some(connection) = self.registry.get(client) else {
             return;
         };
@@ -180,13 +188,15 @@
             _ => vec![],
         };
         let response = self.registry.handler.encode(ticket, answer);
+        memory.shrink_to(response.len().max(closing_error.len()));
         if closing_error.is_empty() {
-            connection.enqueue(Some(ticket), response);
+            connection.enqueue(Some(ticket), response, memory);
         } else {
             connection.reject_and_close(LastRejection {
                 ticket,
                 response,
                 closing_error,
+                memory,
             });
         }
     }
@@ -266,9 +276,4 @@
             .fetch_or(handed_over, Ordering::Relaxed);
         self.accepting_stopped.store(true, Ordering::Relaxed);
     }
-
-    /// Replaces [`ClientLimits::memory_bytes`].
-    pub fn set_memory_limit(&self, bytes: usize) {
-        self.registry.set_memory_limit(bytes);
-    }
 }
--- a/crates/net/src/clients/connection.rs
+++ b/crates/net/src/clients/connection.rs
@@ -26,10 +26,10 @@
 use socket2::SockRef;
 
 use valehatch_connection_limits::{ANSWER_SETTLE_TIME, ConnectionActivity};
-use valehatch_core::ClientId;
+use valehatch_core::{ClientId, ResponseMemory};
+use valehatch_memory_budget::{MemoryBudget, MemoryUse, Reservation};
 use valehatch_policy::{Span, Time};
 
-use super::buffer_budget::{BufferBudget, ChunkReservation};
 use super::write_queue::{QueueStatus, RestOutcome, WriteOutcome, WriteQueue};
 use super::{NextInput, RequestHandler};
 use crate::connection_limits::SharedConnectionLimiter;
@@ -66,6 +66,13 @@
     PeerClosed,
 }
 
+/// Whether a client is owed responses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PendingResponses {
+    None,
+    Some,
+}
+
 /// A client connection. It counts against the limiter until it is dropped, which frees its
 /// descriptor.
 pub(super) struct ClientConnection {
@@ -75,6 +82,8 @@
     /// Signalled when fewer responses are pending or the connection was aborted.
     pending_decreased: Condvar,
     write_queue: WriteQueue,
+    /// Budget of all connections of the front.
+    pub memory: Arc<MemoryBudget>,
     handler: Arc<dyn RequestHandler>,
     clock: Clock,
     limiter: Arc<SharedConnectionLimiter>,
@@ -85,7 +94,7 @@
         id: ClientId,
         stream: TcpStream,
         now: Time,
-        budget: Arc<BufferBudget>,
+        memory: Arc<MemoryBudget>,
         handler: Arc<dyn RequestHandler>,
         clock: Clock,
         limiter: Arc<SharedConnectionLimiter>,
@@ -95,7 +104,8 @@
             stream,
             state: Mutex::new(ConnectionState::new(now)),
             pending_decreased: Condvar::new(),
-            write_queue: WriteQueue::new(budget),
+            write_queue: WriteQueue::default(),
+            memory,
             handler,
             clock,
             limiter,
@@ -111,8 +121,14 @@
         self.state().closing_since()
     }
 
-    pub(super) fn reserve_chunk(&self) -> ChunkReservation {
-        self.write_queue.reserve_chunk()
+    pub(super) fn reserve_chunk(&self) -> Reservation {
+        self.memory.reserve_chunk()
+    }
+
+    /// Reserves memory for a short message of the gateway itself.
+    pub(super) fn reserve_message(&self, message: &[u8]) -> ResponseMemory {
+        let reserved = self.memory.reserve(MemoryUse::Responses, message.len());
+        reserved.into()
     }
 
     /// Reports a changed activity to the limiter. Called with the state's lock held, so that the
@@ -190,7 +206,6 @@
     ) -> io::Result<MutexGuard<'_, ConnectionState>> {
         let mut state = self.state();
         loop {
-            state.has_waiting_reader = false;
             // A request that arrived during the close is answered by the closing error and is not
             // executed.
             if state.phase != ConnectionPhase::Open {
@@ -199,21 +214,68 @@
             if state.pending_responses < limit {
                 return Ok(state);
             }
-            // While the connection's own thread waits here, no other thread would notice a
-            // disconnect.
-            if self.receive_status() == ReceiveStatus::PeerClosed {
-                state.set_disconnected();
-                return Err(ErrorKind::ConnectionAborted.into());
+            state = self.wait_for_written_response(state)?;
+        }
+    }
+
+    /// Waits until a response was written, for at most [`DISCONNECT_CHECK_INTERVAL`]. Until the
+    /// reader has caught up, what it reads may have arrived when the wait began.
+    ///
+    /// # Errors
+    /// Returns `ConnectionAborted` if the client has disconnected.
+    fn wait_for_written_response<'a>(
+        &'a self,
+        mut state: MutexGuard<'a, ConnectionState>,
+    ) -> io::Result<MutexGuard<'a, ConnectionState>> {
+        // While the connection's own thread waits here, no other thread would notice a disconnect.
+        if self.receive_status() == ReceiveStatus::PeerClosed {
+            state.set_disconnected();
+            return Err(ErrorKind::ConnectionAborted.into());
+        }
+        state.input_delayed_since.get_or_insert(self.clock.now());
+        state.has_waiting_reader = true;
+        state = self
+            .pending_decreased
+            .wait_timeout(state, DISCONNECT_CHECK_INTERVAL)
+            .unwrap_or_else(PoisonError::into_inner)
+            .0;
+        state.has_waiting_reader = false;
+        Ok(state)
+    }
+
+    /// Reserves memory with `reserve`, which is told whether other responses are pending. While it
+    /// is denied and responses are pending, waits for them to be written, and nothing more is read
+    /// from the client. Returns `None` if there is no memory although no response is pending.
+    ///
+    /// # Errors
+    /// See [`ClientConnection::wait_for_pending_below`].
+    pub(super) fn reserve_memory<T>(
+        &self,
+        reserve: impl Fn(PendingResponses) -> Option<T>,
+    ) -> io::Result<Option<T>> {
+        let mut state = self.state();
+        loop {
+            if state.phase != ConnectionPhase::Open {
+                return Err(ErrorKind::BrokenPipe.into());
+            }
+            let pending = match state.pending_responses {
+                0 => PendingResponses::None,
+                _ => PendingResponses::Some,
+            };
+            let reserved = reserve(pending);
+            if reserved.is_some() || pending == PendingResponses::None {
+                return Ok(reserved);
             }
-            state.has_waiting_reader = true;
-            state = self
-                .pending_decreased
-                .wait_timeout(state, DISCONNECT_CHECK_INTERVAL)
-                .unwrap_or_else(PoisonError::into_inner)
-                .0;
+            state = self.wait_for_written_response(state)?;
         }
     }
 
+    /// When the request that was just read may have arrived.
+    pub(super) fn input_received_at(&self) -> Time {
+        let delayed_since = self.state().input_delayed_since;
+        delayed_since.unwrap_or_else(|| self.clock.now())
+    }
+
     /// Counts one more pending response; waits while the pipeline limit is reached.
     ///
     /// # Errors
@@ -230,9 +292,16 @@
 impl ClientConnection {
     /// Queues a response and writes as much as the client receives at once. Never blocks: a
     /// separate thread writes the rest.
-    pub(super) fn enqueue(self: &Arc<Self>, ticket: Option<u64>, response: Vec<u8>) {
+    pub(super) fn enqueue(
+        self: &Arc<Self>,
+        ticket: Option<u64>,
+        response: Vec<u8>,
+        memory: ResponseMemory,
+    ) {
         let ticket = ticket.filter(|_| self.handler.has_ordered_responses());
-        let outcome = self.write_queue.enqueue(&self.stream, ticket, response);
+        let outcome = self
+            .write_queue
+            .enqueue(&self.stream, ticket, response, memory);
         self.on_written(outcome);
     }
 
@@ -242,7 +311,10 @@
             WriteOutcome::Written { responses } => {
                 self.update(|state| state.pending_responses -= responses);
             }
-            WriteOutcome::WouldBlock => {
+            WriteOutcome::WouldBlock { responses } => {
+                if responses > 0 {
+                    self.update(|state| state.pending_responses -= responses);
+                }
                 let connection = Arc::clone(self);
                 if spawn("client out", move || connection.write_rest()).is_err() {
                     self.abort();
@@ -256,8 +328,8 @@
     fn write_rest(&self) {
         loop {
             match self.write_queue.write_next(&self.stream) {
-                Ok(RestOutcome::Written { responses }) => {
-                    self.update(|state| state.pending_responses -= responses);
+                Ok(RestOutcome::Written) => {
+                    self.update(|state| state.pending_responses -= 1);
                 }
                 Ok(RestOutcome::Drained(status)) => return self.on_writer_stopped(status),
                 Err(_) => return self.abort(),
@@ -372,7 +444,8 @@
         self.report_activity(&mut state);
         drop(state);
         if !closing_error.is_empty() {
-            self.enqueue(None, closing_error);
+            let memory = self.reserve_message(&closing_error);
+            self.enqueue(None, closing_error, memory);
         }
         self.write_queue.close(&self.stream);
     }
@@ -397,7 +470,7 @@
         state.abort();
         self.report_activity(&mut state);
         drop(state);
-        self.write_queue.mark_closed();
+        self.write_queue.discard();
         let _ = self.stream.shutdown(Shutdown::Both);
         self.pending_decreased.notify_all();
         self.write_queue.notify_progress();
--- a/crates/net/src/clients/connection/exit.rs
+++ b/crates/net/src/clients/connection/exit.rs
@@ -9,6 +9,7 @@
 
 use std::sync::{Arc, MutexGuard};
 
+use valehatch_core::ResponseMemory;
 use valehatch_policy::Span;
 
 use super::{
@@ -28,6 +29,8 @@
     pub(in crate::clients) response: Vec<u8>,
     /// The encoded response that closes the connection.
     pub(in crate::clients) closing_error: Vec<u8>,
+    /// Memory reserved for the response.
+    pub(in crate::clients) memory: ResponseMemory,
 }
 
 impl ClientConnection {
@@ -65,7 +68,7 @@
         let waiting = state.last_rejection.take();
         drop(state);
         if let Some(rejection) = waiting {
-            self.enqueue(Some(rejection.ticket), rejection.response);
+            self.enqueue(Some(rejection.ticket), rejection.response, rejection.memory);
         }
     }
 
@@ -80,12 +83,16 @@
             && !self.has_received();
         if !is_last {
             drop(state);
-            return self.enqueue(Some(rejection.ticket), rejection.response);
+            return self.enqueue(Some(rejection.ticket), rejection.response, rejection.memory);
         }
         state.set_closing_since(self.clock.now());
         self.report_activity(&mut state);
         drop(state);
-        self.enqueue(Some(rejection.ticket), rejection.closing_error);
+        self.enqueue(
+            Some(rejection.ticket),
+            rejection.closing_error,
+            rejection.memory,
+        );
         self.write_queue.close(&self.stream);
     }
 
--- a/crates/net/src/clients/connection/state.rs
+++ b/crates/net/src/clients/connection/state.rs
@@ -68,6 +68,9 @@
     pub idle_timeout: Span,
     /// Set while a thread waits for fewer pending responses.
     pub has_waiting_reader: bool,
+    /// When the reader stopped reading because too much was pending; `None` once it has read all
+    /// input that had arrived.
+    pub input_delayed_since: Option<Time>,
     /// Rejection that is held until the reading thread has handled its request.
     pub last_rejection: Option<LastRejection>,
 }
@@ -85,6 +88,7 @@
             last_used: now,
             idle_timeout: IDLE_TIMEOUT,
             has_waiting_reader: false,
+            input_delayed_since: None,
             last_rejection: None,
         }
     }
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -44,6 +44,10 @@
     settle_time: ANSWER_SETTLE_TIME,
 };
 
+fn memory_budget() -> Arc<MemoryBudget> {
+    Arc::new(MemoryBudget::new(1024 * 1024))
+}
+
 /// A connection, its reader and the client's end of it.
 fn connection() -> (Arc<ClientConnection>, RequestReader, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -61,7 +65,7 @@
         ClientId(1),
         stream,
         now,
-        Arc::new(BufferBudget::new(1024)),
+        memory_budget(),
         Arc::new(EmptyProtocol),
         clock,
         limiter,
@@ -80,7 +84,7 @@
 fn recently_answered_connection_is_not_closed_until_settled() {
     let (events, _inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
-        memory_bytes: 1024,
+        memory: memory_budget(),
         reports_rejections: false,
     };
     let (connection, _, mut client) = connection();
@@ -94,7 +98,7 @@
     .unwrap();
     lock(&clients.registry.connections).insert(ClientId(1), Arc::clone(&connection));
     connection.reserve_response().unwrap();
-    connection.enqueue(None, b"answer;".to_vec());
+    connection.enqueue(None, b"answer;".to_vec(), ResponseMemory::default());
     mark_used_now(&connection);
     clients.close_if_idle(ClientId(1));
     assert!(
@@ -202,7 +206,7 @@
 fn accepted_connection_disables_nagle() {
     let (events, _inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
-        memory_bytes: 1024,
+        memory: memory_budget(),
         reports_rejections: false,
     };
     let (connection, _, _client) = connection();
@@ -317,7 +321,7 @@
 fn graceful_close_discards_later_bytes_without_reset() {
     let (connection, mut reader, mut client) = connection();
     connection.reserve_response().unwrap();
-    connection.enqueue(None, b"answer;".to_vec());
+    connection.enqueue(None, b"answer;".to_vec(), ResponseMemory::default());
     assert_eq!(
         reader.close_gracefully(b"error".to_vec()),
         SessionStatus::Idle
@@ -347,6 +351,7 @@
         ticket: 0,
         response: b"rejected;".to_vec(),
         closing_error: b"closing error".to_vec(),
+        memory: ResponseMemory::default(),
     }
 }
 
@@ -448,7 +453,7 @@
     const MAX_WAIT: Duration = Duration::from_secs(10);
     let (events, _inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
-        memory_bytes: 1024,
+        memory: memory_budget(),
         reports_rejections: false,
     };
     let (connection, _, mut client) = connection();
--- a/crates/net/src/clients/registry.rs
+++ b/crates/net/src/clients/registry.rs
@@ -1,20 +1,18 @@
 //! State shared by all client connections of a front: the connections by id, the limiter and the
-//! memory budgets.
+//! memory budget.
 //!
 //! Any thread may use it; the lock on the connections is held only briefly.
 
 use std::collections::HashMap;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use crossbeam_channel::Sender;
 
 use valehatch_connection_limits::{AdmissionDecision, Eviction};
-use valehatch_core::{ClientId, Event, MemoryReservation};
-use valehatch_request_log::RejectionReason;
+use valehatch_core::{ClientId, Event};
+use valehatch_memory_budget::MemoryBudget;
 
-use super::buffer_budget::BufferBudget;
 use super::connection::ClientConnection;
 use super::{ClientLimits, RequestHandler};
 use crate::connection_limits::SharedConnectionLimiter;
@@ -27,10 +25,7 @@
     pub connections: Mutex<HashMap<ClientId, Arc<ClientConnection>>>,
     pub limiter: Arc<SharedConnectionLimiter>,
     pub reports_rejections: bool,
-    /// Bytes of requests in flight.
-    request_bytes: Arc<AtomicUsize>,
-    request_bytes_limit: AtomicUsize,
-    response_budget: Arc<BufferBudget>,
+    pub memory: Arc<MemoryBudget>,
 }
 
 impl Registry {
@@ -48,9 +43,7 @@
             connections: Mutex::default(),
             limiter,
             reports_rejections: limits.reports_rejections,
-            request_bytes: Arc::default(),
-            request_bytes_limit: limits.memory_bytes.into(),
-            response_budget: Arc::new(BufferBudget::new(limits.memory_bytes)),
+            memory: limits.memory,
         }
     }
 
@@ -63,7 +56,7 @@
             id,
             stream,
             now,
-            Arc::clone(&self.response_budget),
+            Arc::clone(&self.memory),
             Arc::clone(&self.handler),
             self.clock,
             Arc::clone(&self.limiter),
@@ -92,25 +85,9 @@
         }
     }
 
-    /// Reserves memory for a request that has been read completely.
-    ///
-    /// # Errors
-    /// Returns why the request has to be rejected: requests in flight hold all descriptors, or they
-    /// or the responses hold all memory.
-    pub(super) fn reserve(&self, bytes: usize) -> Result<MemoryReservation, RejectionReason> {
+    /// Decides whether a request that has been read completely may use a descriptor of the front.
+    pub(super) fn decide_request(&self) -> AdmissionDecision {
         self.evict_idle();
-        if self.limiter.decide_request() == AdmissionDecision::Reject {
-            return Err(RejectionReason::OutOfConnections);
-        }
-        let limit = self.request_bytes_limit.load(Ordering::Relaxed);
-        let reservation = MemoryReservation::try_acquire(&self.request_bytes, bytes, limit);
-        reservation
-            .filter(|_| !self.response_budget.is_exhausted())
-            .ok_or(RejectionReason::OutOfMemory)
-    }
-
-    pub(super) fn set_memory_limit(&self, bytes: usize) {
-        self.request_bytes_limit.store(bytes, Ordering::Relaxed);
-        self.response_budget.set_limit(bytes);
+        self.limiter.decide_request()
     }
 }
--- a/crates/net/src/clients/response_body.rs
+++ b/crates/net/src/clients/response_body.rs
@@ -8,8 +8,8 @@
 use crossbeam_channel::Sender;
 use socket2::SockRef;
 use valehatch_core::Event;
+use valehatch_memory_budget::Reservation;
 
-use super::buffer_budget::ChunkReservation;
 use super::connection::ClientConnection;
 
 /// Size in bytes of the socket buffers on both sides of a streamed response. By default, the kernel
@@ -21,7 +21,7 @@
 pub struct ResponseBody {
     connection: Arc<ClientConnection>,
     ticket: u64,
-    chunk: ChunkReservation,
+    chunk: Reservation,
     complete: AtomicBool,
     events: Sender<Event>,
 }
--- a/crates/net/src/clients/session.rs
+++ b/crates/net/src/clients/session.rs
@@ -4,18 +4,26 @@
 use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
 use std::sync::Arc;
 
-use valehatch_core::{ClientId, Event, IncomingRequest, MemoryReservation};
-use valehatch_policy::{GroupId, Span};
+use valehatch_connection_limits::AdmissionDecision;
+use valehatch_core::{ClientId, Event, IncomingRequest, ResponseMemory};
+use valehatch_memory_budget::{MemoryUse, Reservation};
+use valehatch_policy::{GroupId, Span, Time};
 use valehatch_request_log::RejectionReason;
 
 use super::connection::{
-    ClientConnection, ClientPresence, ConnectionReader, ReceiveStatus, RequestInput,
+    ClientConnection, ClientPresence, ConnectionReader, PendingResponses, ReceiveStatus,
+    RequestInput,
 };
 use super::registry::Registry;
 use super::{NextInput, SessionStatus};
 
 /// Size of the read buffer, in bytes.
 const READ_BUFFER_BYTES: usize = 4096;
+/// Bytes that an open request takes beside its message: its entries in the tables of the core, the
+/// admission queue and the policy.
+const REQUEST_OVERHEAD_BYTES: usize = 1024;
+/// Copies of a request's message: the request itself, and the attempt that is being written.
+const REQUEST_COPIES: usize = 2;
 
 /// Reads the messages of a client. [`Read::read`] blocks until bytes arrive or a timeout closes the
 /// connection, so a handler reads only after [`RequestReader::next_input`] has returned
@@ -32,7 +40,7 @@
         }
     }
 
-    fn connection(&self) -> &Arc<ClientConnection> {
+    pub(super) fn connection(&self) -> &Arc<ClientConnection> {
         &self.buffered.get_ref().connection
     }
 
@@ -48,6 +56,7 @@
         match self.connection().receive_status() {
             ReceiveStatus::PeerClosed => self.connection().state().set_disconnected(),
             ReceiveStatus::Empty if self.buffered.buffer().is_empty() => {
+                self.connection().state().input_delayed_since = None;
                 return Ok(NextInput::Pending);
             }
             ReceiveStatus::Empty | ReceiveStatus::Data => {}
@@ -134,16 +143,34 @@
     }
 
     /// Reserves memory for a request that has been read completely; `bytes` is the size of its
-    /// message.
+    /// message. Blocks while there is none for one more request of a client that is owed responses.
     ///
     /// # Errors
-    /// Returns why the request has to be rejected.
-    pub fn reserve(&self, bytes: usize) -> Result<MemoryReservation, RejectionReason> {
+    /// Returns why the request has to be rejected: requests in flight hold all descriptors or all
+    /// memory.
+    pub fn reserve(&self, bytes: usize) -> Result<Reservation, RejectionReason> {
         let mut state = self.connection.state();
         state.input = RequestInput::Complete;
         self.connection.report_activity(&mut state);
         drop(state);
-        self.registry.reserve(bytes)
+        if self.registry.decide_request() == AdmissionDecision::Reject {
+            return Err(RejectionReason::OutOfConnections);
+        }
+        let bytes = bytes * REQUEST_COPIES + REQUEST_OVERHEAD_BYTES;
+        let reserved = self.connection.reserve_memory(|pending| {
+            let usage = match pending {
+                PendingResponses::None => MemoryUse::Requests,
+                PendingResponses::Some => MemoryUse::PipelinedRequests,
+            };
+            self.registry.memory.try_reserve(usage, bytes)
+        });
+        reserved.ok().flatten().ok_or(RejectionReason::OutOfMemory)
+    }
+
+    /// When the request that was read last may have arrived: if the reader had to wait before it
+    /// read the request, when that wait began.
+    pub fn received_at(&self) -> Time {
+        self.connection.input_received_at()
     }
 
     /// The connection's number, which is the only identification of a client.
@@ -218,27 +245,42 @@
         }
     }
 
-    /// Answers a request without the core. Blocks while the pipeline limit is reached.
+    /// Answers a request without the core. Blocks while the pipeline limit is reached, or while
+    /// there is no memory for one more response to a client that is owed others.
     ///
     /// # Errors
     /// Returns an error if this side has closed the connection.
     pub fn reply(&self, ticket: u64, response: Vec<u8>) -> io::Result<()> {
-        match self.connection.reserve_response() {
-            // The client disconnected while the pipeline limit was reached.
-            Err(e) if e.kind() == ErrorKind::ConnectionAborted => return Ok(()),
-            other => other?,
+        let reserved = self.reserve_reply(response.len()).and_then(|memory| {
+            self.connection.reserve_response()?;
+            Ok(memory)
+        });
+        match reserved {
+            Ok(memory) => self.connection.enqueue(Some(ticket), response, memory),
+            // The client disconnected during the wait.
+            Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+            Err(e) => return Err(e),
         }
-        self.connection.enqueue(Some(ticket), response);
         Ok(())
     }
 
+    fn reserve_reply(&self, bytes: usize) -> io::Result<ResponseMemory> {
+        let memory = &self.registry.memory;
+        let reserved = self.connection.reserve_memory(|pending| match pending {
+            PendingResponses::None => Some(memory.reserve(MemoryUse::Responses, bytes)),
+            PendingResponses::Some => memory.try_reserve(MemoryUse::PipelinedResponses, bytes),
+        })?;
+        Ok(reserved.map(ResponseMemory::from).unwrap_or_default())
+    }
+
     /// Sends a message that does not answer a request, such as the end of a handshake.
     ///
     /// # Errors
     /// Returns an error if the client has disconnected or this side has closed the connection.
     pub fn send(&self, message: Vec<u8>) -> io::Result<()> {
         self.connection.reserve_response()?;
-        self.connection.enqueue(None, message);
+        let memory = self.connection.reserve_message(&message);
+        self.connection.enqueue(None, message, memory);
         Ok(())
     }
 
--- a/crates/net/src/clients/write_queue.rs
+++ b/crates/net/src/clients/write_queue.rs
@@ -4,21 +4,30 @@
 //! handles. One thread writes at a time. State, under one lock: bytes that are ready to be sent,
 //! and responses that wait for earlier ones.
 
-use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Write};
+use std::collections::{BTreeMap, VecDeque};
+use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
 
 use socket2::SockRef;
+use valehatch_core::ResponseMemory;
 
-use super::buffer_budget::{BufferBudget, ChunkReservation};
 use crate::lock;
 
+/// Maximum number of responses that are written with one call.
+const MAX_RESPONSES_PER_WRITE: usize = 32;
+
+#[derive(Default)]
 pub(super) struct WriteQueue {
     state: Mutex<QueueState>,
     /// Signalled when a response was written or the queue was closed.
     progressed: Condvar,
-    budget: Arc<BufferBudget>,
+}
+
+/// A response with the memory that is reserved for it, which is released once it is written.
+struct QueuedResponse {
+    bytes: Vec<u8>,
+    _memory: ResponseMemory,
 }
 
 #[derive(Default)]
@@ -26,13 +35,11 @@
     /// If responses are ordered: the ticket of the response to be sent next.
     next_ticket: u64,
     /// Responses that wait for earlier ones, by ticket.
-    out_of_order: BTreeMap<u64, Vec<u8>>,
-    /// Bytes to be sent next.
-    ready: Vec<u8>,
-    /// Number of responses in `ready`.
-    ready_responses: usize,
-    /// Bytes of complete responses that count against the budget.
-    buffered_bytes: usize,
+    out_of_order: BTreeMap<u64, QueuedResponse>,
+    /// Responses to be sent next.
+    ready: VecDeque<QueuedResponse>,
+    /// Bytes of the first ready response that are written.
+    written_of_first: usize,
     /// Set while a thread writes: the client did not receive all bytes at once, or a streamed
     /// response is being written.
     writing: bool,
@@ -47,9 +54,9 @@
     NothingToDo,
     /// Everything that was ready is written: this number of responses.
     Written { responses: usize },
-    /// The client's receive buffer is full: the caller has to write the rest with
-    /// [`WriteQueue::write_next`].
-    WouldBlock,
+    /// The client's receive buffer is full after this number of responses: the caller has to write
+    /// the rest with [`WriteQueue::write_next`].
+    WouldBlock { responses: usize },
     /// The connection failed.
     Failed,
 }
@@ -57,8 +64,8 @@
 /// Result of [`WriteQueue::write_next`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RestOutcome {
-    /// This number of responses was written; there may be more.
-    Written { responses: usize },
+    /// One response was written; there may be more.
+    Written,
     /// Nothing is left to write, and the thread no longer counts as writing.
     Drained(QueueStatus),
 }
@@ -76,45 +83,57 @@
     /// Moves the responses that are next in order to `ready`.
     fn take_in_order(&mut self) {
         while let Some(response) = self.out_of_order.remove(&self.next_ticket) {
-            self.ready.extend_from_slice(&response);
+            self.ready.push_back(response);
             self.next_ticket += 1;
-            self.ready_responses += 1;
         }
     }
-}
 
-impl WriteQueue {
-    pub(super) fn new(budget: Arc<BufferBudget>) -> Self {
-        Self {
-            state: Mutex::default(),
-            progressed: Condvar::new(),
-            budget,
-        }
+    /// The unwritten bytes of the first ready responses.
+    fn ready_slices(&self) -> Vec<IoSlice<'_>> {
+        let mut written = self.written_of_first;
+        let first_responses = self.ready.iter().take(MAX_RESPONSES_PER_WRITE);
+        let unwritten = first_responses.map(|response| {
+            let begin = std::mem::take(&mut written);
+            IoSlice::new(&response.bytes[begin..])
+        });
+        unwritten.collect()
     }
 
-    pub(super) fn reserve_chunk(&self) -> ChunkReservation {
-        self.budget.reserve_chunk()
+    /// Removes what was written; returns the number of responses that are completely written.
+    fn on_written(&mut self, bytes: usize) -> usize {
+        let mut responses = 0;
+        self.written_of_first += bytes;
+        while let Some(first) = self.ready.front()
+            && self.written_of_first >= first.bytes.len()
+        {
+            self.written_of_first -= first.bytes.len();
+            self.ready.pop_front();
+            responses += 1;
+        }
+        responses
     }
+}
 
+impl WriteQueue {
     /// Queues a response, in ticket order if it has a ticket, and writes as much as the client
     /// receives at once.
     pub(super) fn enqueue(
         &self,
         stream: &TcpStream,
         ticket: Option<u64>,
-        response: Vec<u8>,
+        bytes: Vec<u8>,
+        memory: ResponseMemory,
     ) -> WriteOutcome {
-        self.budget.add(response.len());
+        let response = QueuedResponse {
+            bytes,
+            _memory: memory,
+        };
         let mut state = lock(&self.state);
-        state.buffered_bytes += response.len();
         match ticket {
             Some(ticket) => {
                 state.out_of_order.insert(ticket, response);
             }
-            None => {
-                state.ready.extend_from_slice(&response);
-                state.ready_responses += 1;
-            }
+            None => state.ready.push_back(response),
         }
         state.take_in_order();
         self.write_ready(stream, state)
@@ -129,49 +148,41 @@
             return WriteOutcome::NothingToDo;
         }
         let socket = SockRef::from(stream);
-        loop {
-            match socket.send_with_flags(&state.ready, libc::MSG_DONTWAIT) {
-                Ok(written) => {
-                    self.release(&mut state, written);
-                    if written == state.ready.len() {
-                        break;
-                    }
-                    state.ready.drain(..written);
-                }
+        let mut responses = 0;
+        while !state.ready.is_empty() {
+            let sent = socket.send_vectored_with_flags(&state.ready_slices(), libc::MSG_DONTWAIT);
+            match sent {
+                Ok(written) => responses += state.on_written(written),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     state.writing = true;
-                    return WriteOutcome::WouldBlock;
+                    return WriteOutcome::WouldBlock { responses };
                 }
                 Err(_) => return WriteOutcome::Failed,
             }
         }
-        state.ready.clear();
-        let responses = std::mem::take(&mut state.ready_responses);
         drop(state);
         // A streamed response may be next in order.
         self.progressed.notify_all();
         WriteOutcome::Written { responses }
     }
 
-    /// Writes everything that is ready and blocks until the client has received it. Called by the
-    /// thread that is started on [`WriteOutcome::WouldBlock`].
+    /// Writes the rest of the first ready response and blocks until the client has received it.
+    /// Called by the thread that is started on [`WriteOutcome::WouldBlock`].
     ///
     /// # Errors
     /// Returns an error if the connection failed, or the client received nothing within the
     /// socket's write timeout.
     pub(super) fn write_next(&self, stream: &TcpStream) -> io::Result<RestOutcome> {
         let mut state = lock(&self.state);
-        let ready = std::mem::take(&mut state.ready);
-        let responses = std::mem::take(&mut state.ready_responses);
-        if ready.is_empty() {
+        let Some(first) = state.ready.pop_front() else {
             return Ok(RestOutcome::Drained(self.stop_writing(stream, state)));
-        }
+        };
+        let written = std::mem::take(&mut state.written_of_first);
         drop(state);
         let mut socket = stream;
-        socket.write_all(&ready)?;
-        self.release(&mut lock(&self.state), ready.len());
-        Ok(RestOutcome::Written { responses })
+        socket.write_all(&first.bytes[written..])?;
+        Ok(RestOutcome::Written)
     }
 
     fn stop_writing(
@@ -242,26 +253,18 @@
         self.progressed.notify_all();
     }
 
-    /// Accepts no further responses; the caller shuts down the socket and then calls
-    /// [`WriteQueue::notify_progress`].
-    pub(super) fn mark_closed(&self) {
-        lock(&self.state).closed = true;
+    /// Accepts no further responses and drops the queued ones; the caller shuts down the socket and
+    /// then calls [`WriteQueue::notify_progress`].
+    pub(super) fn discard(&self) {
+        let mut state = lock(&self.state);
+        state.closed = true;
+        state.out_of_order.clear();
+        state.ready.clear();
+        state.written_of_first = 0;
     }
 
     /// Whether a thread is writing to the client.
     pub(super) fn is_writing(&self) -> bool {
         lock(&self.state).writing
     }
-
-    fn release(&self, state: &mut QueueState, bytes: usize) {
-        state.buffered_bytes -= bytes;
-        self.budget.release(bytes);
-    }
-}
-
-impl Drop for WriteQueue {
-    fn drop(&mut self) {
-        let state = self.state.get_mut().unwrap_or_else(PoisonError::into_inner);
-        self.budget.release(state.buffered_bytes);
-    }
 }
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -43,17 +43,12 @@
     fn open(&self, stream: &TcpStream) -> Result<(), Outcome>;
     /// Encodes a job. The gateway waits `left_ms` milliseconds for the reply.
     fn request(&self, job: &UpstreamJob, left_ms: i64) -> Vec<u8>;
-    /// Reads the complete reply to the request bytes in `sent`. A body that is too long to be
+    /// Reads the complete reply to a job. A body that is too long to be
     /// buffered is written to the response that `open_body` opens, except for its last bytes: these
     /// are returned as the reply's body, and are written once the core knows that the connection is
     /// free.
-    fn answer(
-        &self,
-        stream: &TcpStream,
-        job: &UpstreamJob,
-        sent: &[u8],
-        open_body: BodyOpener,
-    ) -> ReceivedReply;
+    fn answer(&self, stream: &TcpStream, job: &UpstreamJob, open_body: BodyOpener)
+    -> ReceivedReply;
 }
 
 /// All upstream connections of a front, as used by the core's thread. No method blocks.
--- a/crates/net/src/upstream/connection.rs
+++ b/crates/net/src/upstream/connection.rs
@@ -289,14 +289,13 @@
         if writer.write_all(&request).is_err() {
             return Exchange::failed(Outcome::ConnectFailed);
         }
+        // The wait for the reply may be long.
+        drop(request);
         if let (UpstreamJob::Request { payload, .. }, Some(metrics)) = (job, &self.context.metrics)
         {
             metrics.count_attempt_sent(payload.class);
         }
-        let received = self
-            .context
-            .protocol
-            .answer(stream, job, &request, open_body);
+        let received = self.context.protocol.answer(stream, job, open_body);
         Exchange {
             received,
             sent_at: Some(sent_at),
--- a/crates/pg/src/clients.rs
+++ b/crates/pg/src/clients.rs
@@ -15,12 +15,13 @@
 use valehatch_core::FinalAnswer;
 use valehatch_net::Clock;
 use valehatch_net::clients::{
-    NextInput, RequestHandler, RequestReader, Session, SessionProgress, SessionStatus,
+    BodyError, NextInput, RequestBody, RequestHandler, RequestReader, Session, SessionProgress,
+    SessionStatus,
 };
 use valehatch_policy::Span;
 
 use crate::codec::error_response::{MESSAGE_FIELD, error_field, sqlstate};
-use crate::codec::framing::{HEADER_BYTES, read_message};
+use crate::codec::framing::{HEADER_BYTES, read_header};
 use crate::codec::message_types::{backend, frontend};
 use crate::codec::startup::{FirstMessage, read_first_message, startup_reply};
 use responses::{fatal_error, final_response, retry_later, unqueued_response};
@@ -66,11 +67,13 @@
 /// A received message, by the action that it requests.
 enum ClientMessage {
     /// Runs a query; holds the message body.
-    Query(Vec<u8>),
+    Query(RequestBody),
     /// Closes the session.
     Terminate,
     /// A message that is not served; holds the error to send to the client.
     Unsupported(Vec<u8>),
+    /// A message for which there is no memory; it is not read completely.
+    OutOfMemory,
 }
 
 /// Advances the handshake as far as received messages allow.
@@ -118,16 +121,21 @@
 }
 
 fn read_client_message(reader: &mut RequestReader) -> io::Result<ClientMessage> {
-    let message = match read_message(reader, MAX_MESSAGE_BYTES) {
-        Ok(message) => message,
+    let header = match read_header(reader, MAX_MESSAGE_BYTES) {
+        Ok(header) => header,
         Err(error) if error.kind() == io::ErrorKind::InvalidData => {
             let response = fatal_error(sqlstate::PROGRAM_LIMIT_EXCEEDED, &error.to_string());
             return Ok(ClientMessage::Unsupported(response));
         }
         Err(error) => return Err(error),
     };
-    Ok(match message.message_type {
-        frontend::QUERY => ClientMessage::Query(message.body),
+    let body = match reader.read_body(&[], header.body_length) {
+        Ok(body) => body,
+        Err(BodyError::OutOfMemory { .. }) => return Ok(ClientMessage::OutOfMemory),
+        Err(BodyError::Io(error)) => return Err(error),
+    };
+    Ok(match header.message_type {
+        frontend::QUERY => ClientMessage::Query(body),
         frontend::TERMINATE => ClientMessage::Terminate,
         frontend::PARSE
         | frontend::BIND
@@ -170,14 +178,24 @@
                 ClientMessage::Unsupported(error) => {
                     return Ok(SessionStep::ClosedWithError(error));
                 }
+                ClientMessage::OutOfMemory => {
+                    return Ok(SessionStep::ClosedWithError(self.out_of_memory()));
+                }
             };
-            let closing = self.serve_query(progress, session, ticket, &body)?;
+            let closing = self.serve_query(progress, session, ticket, &body.bytes)?;
             if let Some(error) = closing {
                 return Ok(SessionStep::ClosedWithError(error));
             }
         }
     }
 
+    fn out_of_memory(&self) -> Vec<u8> {
+        retry_later(
+            self.site.settings.limits.max_retry_after,
+            "refused: nothing ran, there is no room for it",
+        )
+    }
+
     /// Submits a query as a request, or responds to it at once. Returns an error if the session has
     /// to be closed with it.
     fn serve_query(
@@ -192,14 +210,9 @@
             let rejected = |reason| session.report_rejection(class, tenant, group, reason);
             session.reserve(body.len()).map_err(rejected).ok()
         };
-        match self.decode_request(session.client_number(), query, reserve) {
+        match self.decode_request(session, query, reserve) {
             Ok(Some(request)) => session.submit(ticket, request)?,
-            Ok(None) => {
-                return Ok(Some(retry_later(
-                    self.site.settings.limits.max_retry_after,
-                    "refused: nothing ran, there is no room for it",
-                )));
-            }
+            Ok(None) => return Ok(Some(self.out_of_memory())),
             Err(error) => {
                 let response = unqueued_response(query, &error);
                 let is_malformed = response.first() == Some(&backend::ERROR_RESPONSE);
--- a/crates/pg/src/clients/request.rs
+++ b/crates/pg/src/clients/request.rs
@@ -6,7 +6,9 @@
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
-use valehatch_core::{IncomingRequest, MemoryReservation, Payload};
+use valehatch_core::{IncomingRequest, Payload};
+use valehatch_memory_budget::Reservation;
+use valehatch_net::clients::Session;
 use valehatch_policy::{Consistency, GroupId, Idempotency, RequestClass, SessionKey, Span};
 
 use super::PostgresHandler;
@@ -71,9 +73,9 @@
     /// last, with the request's class, tenant and group, after all validation.
     pub(super) fn decode_request(
         &self,
-        client: u64,
+        session: &Session,
         query: &[u8],
-        reserve: impl FnOnce(usize, Option<usize>, GroupId) -> Option<MemoryReservation>,
+        reserve: impl FnOnce(usize, Option<usize>, GroupId) -> Option<Reservation>,
     ) -> Result<Option<IncomingRequest>, RequestError> {
         let commented = CommentedQuery::parse(query)?;
         let name = commented.required("id")?;
@@ -88,7 +90,7 @@
         let group = GroupId(group.map_err(|_| RequestError::InvalidGroup)?);
         let contract = &self.site.settings.classes[class];
         check_contract(contract, &commented)?;
-        let session = self.session_key(contract.consistency, commented.statement);
+        let session_key = self.session_key(contract.consistency, commented.statement);
         let tenant = commented
             .optional("t")
             .and_then(|tenant| index_of(&self.site.tenants, tenant));
@@ -103,14 +105,14 @@
             class,
             tenant,
             group,
-            session,
-            received: self.clock.now(),
+            session: session_key,
+            received: session.received_at(),
             // The class's deadline bounds how long a request stays open, even if the client would
             // wait longer.
             client_timeout: client_timeout.min(contract.deadline),
             is_client_retry: commented.optional("r") == Some("1"),
             last_write_at: last_write_ms.map(|unix_ms| self.clock.at_unix_ms(unix_ms)),
-            client,
+            client: session.client_number(),
             payload: Arc::new(Payload {
                 bytes: query.to_vec(),
                 write: contract.consistency == Consistency::Write,
--- a/crates/pg/src/clients/responses.rs
+++ b/crates/pg/src/clients/responses.rs
@@ -7,7 +7,7 @@
 use crate::codec::error_response::{ErrorResponse, Severity, sqlstate};
 use crate::codec::framing::put_message;
 use crate::codec::message_types::backend;
-use crate::codec::put_ready_for_query;
+use crate::codec::{READY_FOR_QUERY_BYTES, put_ready_for_query};
 
 /// Formats the time until a retry in whole milliseconds, at least 1.
 fn retry_after_ms(retry_after: Span) -> String {
@@ -95,6 +95,7 @@
         }
         FinalAnswer::Failed(failure) => put_failure(&mut out, failure),
     }
+    out.reserve_exact(READY_FOR_QUERY_BYTES);
     put_ready_for_query(&mut out);
     out
 }
--- a/crates/pg/src/upstream.rs
+++ b/crates/pg/src/upstream.rs
@@ -23,10 +23,13 @@
 use crate::codec::startup::write_startup;
 use response::ResponseReader;
 use response_stream::ResponseStream;
+use streamed_row::MAX_BUFFERED_VALUE_BYTES;
 
-/// Maximum body in bytes of a message from an endpoint, which is buffered completely. Streamed rows
-/// are exempt.
-const MAX_MESSAGE_BYTES: usize = 1024 * 1024;
+/// Maximum size in bytes of a response that is buffered: a row with the longest buffered value, its
+/// description and its completion. Longer rows are streamed.
+pub const MAX_BUFFERED_RESPONSE_BYTES: usize = MAX_BUFFERED_VALUE_BYTES + 4 * 1024;
+/// Maximum body in bytes of a message from an endpoint. Streamed rows are exempt.
+const MAX_MESSAGE_BYTES: usize = MAX_BUFFERED_RESPONSE_BYTES;
 /// Maximum bytes of notices and parameters that an endpoint may send with one response or during
 /// session startup; nothing else bounds their number.
 const MAX_ASYNCHRONOUS_BYTES: usize = 64 * 1024;
@@ -90,7 +93,6 @@
         &self,
         stream: &TcpStream,
         job: &UpstreamJob,
-        _sent: &[u8],
         open_body: BodyOpener,
     ) -> ReceivedReply {
         let stream = ResponseStream::new(stream);
--- a/crates/pg/src/upstream/response.rs
+++ b/crates/pg/src/upstream/response.rs
@@ -2,11 +2,11 @@
 //!
 //! [`ResponseReader`] tracks the progress of the response and keeps the messages for the client. A
 //! response that violates the protocol counts as an error, since the query may have run, and its
-//! connection is not reused. Memory is bounded by one message, the messages kept for the client,
-//! and [`MAX_ASYNCHRONOUS_BYTES`] of notices and parameters.
+//! connection is not reused. Memory is bounded by [`MAX_BUFFERED_RESPONSE_BYTES`] for the client's
+//! messages, which was reserved before the query was sent, and by one parameter.
 
 use std::fmt;
-use std::io::{self, BufReader, ErrorKind};
+use std::io::{self, BufReader, ErrorKind, Read};
 use std::sync::Arc;
 
 use valehatch_core::{UpstreamJob, UpstreamReply};
@@ -18,20 +18,22 @@
 use super::load_report::{parse_load_report, position_from_unix_ms};
 use super::response_stream::ResponseStream;
 use super::streamed_row::{StreamedRowError, is_streamed, stream_row};
-use super::{MAX_ASYNCHRONOUS_BYTES, MAX_MESSAGE_BYTES, outcome_of};
+use super::{MAX_ASYNCHRONOUS_BYTES, MAX_BUFFERED_RESPONSE_BYTES, MAX_MESSAGE_BYTES, outcome_of};
 use crate::codec::error_response::{CODE_FIELD, error_field};
 use crate::codec::framing::{
-    HEADER_BYTES, Message, MessageHeader, put_message, read_body, read_header,
+    HEADER_BYTES, Message, MessageHeader, header, put_message, read_body, read_header,
 };
 use crate::codec::message_types::backend;
-use crate::codec::put_ready_for_query;
 use crate::codec::rows::{describes_one_column, only_column};
 use crate::codec::strings::{command_tag, parameter_status};
+use crate::codec::{READY_FOR_QUERY_BYTES, put_ready_for_query};
 
 /// Maximum size of a row in bytes; values have up to 4 MiB.
 const MAX_ROW_BYTES: usize = 16 * 1024 * 1024;
 /// Length of an error code (SQLSTATE) in bytes.
 const SQLSTATE_BYTES: usize = 5;
+/// Size in bytes of the messages that follow a row: CommandComplete and ReadyForQuery.
+const COMPLETION_BYTES: usize = 32 + READY_FOR_QUERY_BYTES;
 /// Body of a ReadyForQuery outside of a transaction.
 const IDLE: &[u8] = b"I";
 
@@ -57,6 +59,8 @@
     Disconnected,
     /// A message could not be read, or the connection stalled.
     Unreadable(io::Error),
+    /// The messages for the client exceed [`MAX_BUFFERED_RESPONSE_BYTES`].
+    TooLong,
     /// Notices and parameters exceed [`MAX_ASYNCHRONOUS_BYTES`].
     TooManyAsynchronousBytes,
     /// A message of this type is not valid at this point of the response.
@@ -76,6 +80,7 @@
         match self {
             Self::Disconnected => f.write_str("connection closed before ReadyForQuery"),
             Self::Unreadable(error) => write!(f, "cannot read a message: {error}"),
+            Self::TooLong => f.write_str("response is too long to be buffered"),
             Self::TooManyAsynchronousBytes => f.write_str("too many notices and parameters"),
             Self::UnexpectedMessage(message_type) => {
                 write!(f, "unexpected message of type {message_type:#04x}")
@@ -177,6 +182,10 @@
                 self.stream_row(reader, header.body_length)?;
                 continue;
             }
+            if header.message_type == backend::DATA_ROW && self.phase == Phase::Described {
+                self.read_row(reader, header.body_length)?;
+                continue;
+            }
             let message = Message {
                 message_type: header.message_type,
                 body: read_body(reader, header.body_length, MAX_MESSAGE_BYTES)?,
@@ -227,14 +236,11 @@
             }
             (backend::ROW_DESCRIPTION, Phase::Start) if describes_one_column(body) => {
                 self.phase = Phase::Described;
-                self.keep_for_client(message);
-                Ok(())
+                self.keep_for_client(message)
             }
-            (backend::DATA_ROW, Phase::Described) => self.on_row(message),
             (backend::COMMAND_COMPLETE, Phase::RowReceived) if self.matches_job(body) => {
                 self.phase = Phase::Complete;
-                self.keep_for_client(message);
-                Ok(())
+                self.keep_for_client(message)
             }
             (backend::ERROR_RESPONSE, Phase::Start | Phase::Described | Phase::RowReceived) => {
                 self.on_error(message)
@@ -243,9 +249,23 @@
         }
     }
 
-    fn keep_for_client(&mut self, message: &Message) {
+    fn keep_for_client(&mut self, message: &Message) -> Result<(), ResponseError> {
+        self.reserve_for_client(message.body.len())?;
         let out = &mut self.client_messages;
         put_message(out, message.message_type, &[&message.body]);
+        Ok(())
+    }
+
+    /// Makes room for one more message, and for what follows it: a vector that grows by itself
+    /// would double its capacity.
+    fn reserve_for_client(&mut self, body_length: usize) -> Result<(), ResponseError> {
+        let message_bytes = HEADER_BYTES + body_length;
+        if self.client_messages.len() + message_bytes > MAX_BUFFERED_RESPONSE_BYTES {
+            return Err(ResponseError::TooLong);
+        }
+        self.client_messages
+            .reserve_exact(message_bytes + COMPLETION_BYTES);
+        Ok(())
     }
 
     const fn count_asynchronous(&mut self, body: &[u8]) -> Result<(), ResponseError> {
@@ -256,13 +276,23 @@
         Ok(())
     }
 
-    fn on_row(&mut self, message: &Message) -> Result<(), ResponseError> {
-        let value = only_column(&message.body).ok_or(ResponseError::MalformedRow)?;
+    /// Reads a row into the messages for the client.
+    fn read_row(
+        &mut self,
+        reader: &mut BufReader<ResponseStream>,
+        body_length: usize,
+    ) -> Result<(), ResponseError> {
+        self.reserve_for_client(body_length)?;
+        let out = &mut self.client_messages;
+        out.extend_from_slice(&header(backend::DATA_ROW, body_length));
+        let begin = out.len();
+        out.resize(begin + body_length, 0);
+        reader.read_exact(&mut out[begin..])?;
+        let value = only_column(&out[begin..]).ok_or(ResponseError::MalformedRow)?;
         if matches!(self.job, UpstreamJob::HealthCheck) {
             self.health_check_row = Some(value.to_vec());
         }
         self.phase = Phase::RowReceived;
-        self.keep_for_client(message);
         Ok(())
     }
 
@@ -278,7 +308,7 @@
             self.reply.outcome = Outcome::Error;
         }
         if self.reply.is_final_error {
-            self.keep_for_client(message);
+            self.keep_for_client(message)?;
         }
         self.phase = Phase::Failed;
         Ok(())
--- a/crates/pg/src/upstream/streamed_row.rs
+++ b/crates/pg/src/upstream/streamed_row.rs
@@ -14,7 +14,7 @@
 use crate::codec::rows::{ROW_HEADER_BYTES, row_header};
 
 /// Maximum size in bytes of a buffered value; longer values are streamed.
-const MAX_BUFFERED_VALUE_BYTES: usize = 64 * 1024;
+pub(super) const MAX_BUFFERED_VALUE_BYTES: usize = 64 * 1024;
 
 /// Reasons why a row was not streamed completely.
 #[derive(Debug)]
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -5,7 +5,6 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
 
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
@@ -13,8 +12,9 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use valehatch_core::{
     ClientId, ConnectionId, CoreConfig, Effect, Event, FinalAnswer, IncomingRequest,
-    ListedEndpoint, MemoryReservation, Payload, State, UpstreamJob, UpstreamReply,
+    ListedEndpoint, Payload, State, UpstreamJob, UpstreamReply,
 };
+use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_policy::*;
 
 use crate::experiment::{AdmissionMode, Experiment, FaultKind, RetryBehavior};
@@ -32,6 +32,8 @@
 pub const OVERLOAD_WINDOW: Span = Span::from_millis(2_000);
 /// Time from the death of a primary to the election of its successor.
 const ELECTION_DELAY: Span = Span::from_millis(2_000);
+/// Size in bytes of the number that identifies a request.
+const REQUEST_BYTES: usize = 8;
 /// Number of trace lines that are kept for the report of a violation.
 const MAX_TRACE_LINES: usize = 400;
 
@@ -191,7 +193,7 @@
     requests: BTreeMap<u64, SentRequest>,
     next_request: u64,
     next_client: u64,
-    memory_in_use: Arc<AtomicUsize>,
+    memory: Arc<MemoryBudget>,
     outcome: Outcome,
     last: VecDeque<String>,
     trace: bool,
@@ -303,6 +305,7 @@
                 trace_requests: false,
                 upstream_connection_limit: 2_000,
                 health_check_timeout: Span::from_millis(250),
+                response_limits: None,
             };
             let state =
                 State::new(facts, seed.wrapping_add(n as u64)).map_err(|e| e.to_string())?;
@@ -347,7 +350,7 @@
             requests: BTreeMap::new(),
             next_request: 0,
             next_client: 0,
-            memory_in_use: Arc::default(),
+            memory: Arc::new(MemoryBudget::new(0)),
             outcome: Outcome {
                 tenants,
                 returns,
@@ -563,8 +566,7 @@
         let ticket = gateway.next_ticket;
         gateway.tickets.insert(ticket, request);
         let write = self.plan.class[class].write;
-        let memory = MemoryReservation::try_acquire(&self.memory_in_use, 8, usize::MAX)
-            .expect("a reservation without a limit succeeds");
+        let memory = self.memory.reserve(MemoryUse::Requests, REQUEST_BYTES);
         let payload = Arc::new(Payload {
             bytes: request.to_be_bytes().to_vec(),
             write,
