--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -6,16 +6,13 @@
 use std::sync::Arc;
 use std::thread;
 
-use support::{NON_IDEMPOTENT, config, incoming_request, ms};
+use support::{NON_IDEMPOTENT, config, incoming_request, listed_endpoint, ms};
 use valehatch_core::permission::SendPermit;
 use valehatch_core::{
-    ClientId, ConnectionId, Effect, Event, FinalAnswer, ListedEndpoint, State, UpstreamJob,
-    UpstreamReply,
+    ClientId, ConnectionId, Effect, Event, FinalAnswer, State, UpstreamJob, UpstreamReply,
 };
 use valehatch_memory_budget::{MemoryBudget, MemoryUse};
-use valehatch_policy::{
-    EndpointId, EndpointRecord, EndpointState, GroupId, KindId, Outcome, Span, Time, ZoneId,
-};
+use valehatch_policy::{EndpointState, Outcome, Span, Time};
 
 const IDEMPOTENCY_KEY: usize = 0;
 
@@ -30,24 +27,6 @@
     deadline: Time,
 }
 
-fn listed_endpoint(id: u32, state: EndpointState, primary: bool) -> ListedEndpoint {
-    let record = EndpointRecord {
-        endpoint: EndpointId(id),
-        group: GroupId(0),
-        zone: ZoneId(0),
-        kind: KindId(0),
-        weight: 1.0,
-        started: None,
-        primary,
-        state,
-    };
-    ListedEndpoint {
-        record,
-        name: format!("s-{id}").into(),
-        address: format!("127.0.0.1:{}", 9000 + id).into(),
-    }
-}
-
 /// Deadline of the submitted attempt.
 fn submitted_deadline(effects: &[Effect]) -> Time {
     let deadline = |effect: &Effect| match effect {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,13 +1,15 @@
 //! Settings, configuration and requests shared by the tests of the reducer.
+#![allow(dead_code)]
 
 use std::sync::Arc;
 
 use valehatch_core::permission::Decisions;
-use valehatch_core::{CoreConfig, IncomingRequest, Payload};
+use valehatch_core::{CoreConfig, IncomingRequest, ListedEndpoint, Payload};
 use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_policy::{
-    Consistency, DedupScope, DiscoveryMode, GroupId, Idempotency, Limits, ListedRole, RequestClass,
-    Rules, SessionTracking, Settings, Span, StaleReadPolicy, Time, ZoneId,
+    Consistency, DedupScope, DiscoveryMode, EndpointId, EndpointRecord, EndpointState, GroupId,
+    Idempotency, KindId, Limits, ListedRole, RequestClass, Rules, SessionTracking, Settings, Span,
+    StaleReadPolicy, Time, ZoneId,
 };
 
 /// Index of the non-idempotent class; class 0 uses an idempotency key.
@@ -65,6 +67,25 @@
     }
 }
 
+/// An entry of the endpoint list.
+pub(crate) fn listed_endpoint(id: u32, state: EndpointState, primary: bool) -> ListedEndpoint {
+    let record = EndpointRecord {
+        endpoint: EndpointId(id),
+        group: GroupId(0),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        weight: 1.0,
+        started: None,
+        primary,
+        state,
+    };
+    ListedEndpoint {
+        record,
+        name: format!("s-{id}").into(),
+        address: format!("127.0.0.1:{}", 9000 + id).into(),
+    }
+}
+
 /// A configuration without admission queue, observability and metrics.
 pub(crate) fn config(longest_deadline: Span) -> CoreConfig {
     CoreConfig {
