Require of session reads what another process may have confirmed

Cause: the positions of sessions' last writes are known only to the process that served the writes. The other one had no entry, and "no entry" meant both "this session has written nothing" and "nothing is known of it": any replica could serve the read.

Change: a router is told when another process of its gateway begins to serve and when that process is gone. While it serves, a session read must see everything committed before the read arrived; afterwards, everything committed before the process was gone. A commit is never later than its confirmation, so this holds without any message between the processes, and thus for a message that is late or lost, for an upgrade that is given up and for a third process.

Cost: while two processes serve, session reads go to primaries where the gateway remembers positions and databases do not check them.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -8,8 +8,8 @@
 use valehatch_admission::{QuotaCountMismatch, Settings as AdmissionSettings, TenantQueueView};
 use valehatch_memory_budget::Reservation;
 use valehatch_policy::{
-    EndpointRecord, EndpointView, GroupId, GroupView, LoadReport, Outcome, Role, SessionKey,
-    Settings, Span, Time,
+    EndpointRecord, EndpointView, GroupId, GroupView, LoadReport, Outcome, PeerProcess, Role,
+    SessionKey, Settings, Span, Time,
 };
 use valehatch_request_log::{FinalOutcome, OutcomeMetrics, RejectionReason, RequestRecord};
 
@@ -211,6 +211,8 @@
     /// The offset between the cluster's clock and this process's clock was corrected: Unix times
     /// that were converted before lie this much later than assumed, or earlier if negative.
     ClockCorrected(Span),
+    /// Another process of this gateway began or ceased to serve requests.
+    PeerProcess(PeerProcess),
     /// Number of gateways that share the endpoints from now on.
     GatewayCount(u32),
     /// New quotas of the tenants; ignored without an admission queue.
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -10,7 +10,7 @@
 //! | `ResponseStarted`, `AttemptEnded` | `attempts.rs` |
 //! | `UpstreamConnectionLimit` | `upstream_connections.rs` |
 //! | `TenantQuotas` | the admission queue |
-//! | `GatewayCount`, `ClockCorrected` | the policy |
+//! | `GatewayCount`, `PeerProcess`, `ClockCorrected` | the policy |
 //! | `ShutdownRequested`, `HandoffStarted` | `shutdown.rs` |
 //! | `PublishView` | `live_view.rs` |
 //!
@@ -227,6 +227,7 @@
                 let after_reply = AfterReply::from_reusable(reusable);
                 policy_events.extend(self.on_reply(now, connection, reply, after_reply, effects));
             }
+            Event::PeerProcess(peer) => policy_events.push(PolicyEvent::PeerProcess(peer)),
             Event::GatewayCount(count) => policy_events.push(PolicyEvent::RouterCount(count)),
             Event::ClockCorrected(by) => policy_events.push(PolicyEvent::ClockCorrected(by)),
             Event::TenantQuotas(quotas) => self.on_tenant_quotas(&quotas, effects),
--- a/crates/gateway/src/hot_restart.rs
+++ b/crates/gateway/src/hot_restart.rs
@@ -24,6 +24,7 @@
     HandoffHandle, HandoffHandler, HandoffOutcome, HotRestart, request_handoff,
 };
 use valehatch_pg::upstream::MAX_BUFFERED_RESPONSE_BYTES;
+use valehatch_policy::PeerProcess;
 use valehatch_recovery::endpoint_list::EndpointListCache;
 use valehatch_recovery::snapshot::Snapshot;
 
@@ -55,6 +56,8 @@
     pub(crate) snapshot: Option<Snapshot>,
     /// Connection to the predecessor, if one is running.
     predecessor: Option<UnixStream>,
+    /// Whether a predecessor may still be serving, even if it cannot be reached.
+    pub(crate) peer: PeerProcess,
 }
 
 /// Takes over from the predecessor, or starts without one as after a crash.
@@ -66,20 +69,21 @@
     gateway: &str,
     listen: SocketAddr,
 ) -> Result<Inheritance, StartError> {
-    let bind_new = |snapshot, predecessor| {
+    let bind_new = |snapshot, predecessor, peer| {
         let listener = bind_listener(listen, AddressSharing::SameUser)
             .map_err(StartError::resource(format!("listen: {listen}")))?;
         Ok(Inheritance {
             listener,
             snapshot,
             predecessor,
+            peer,
         })
     };
     let Some(path) = path else {
-        return bind_new(None, None);
+        return bind_new(None, None, PeerProcess::Gone);
     };
     match request_handoff(path, gateway) {
-        HandoffOutcome::NoProcess => bind_new(None, None),
+        HandoffOutcome::NoProcess => bind_new(None, None, PeerProcess::Gone),
         HandoffOutcome::Inherited(inherited) => {
             let snapshot = decode_inherited(&inherited.snapshot, gateway);
             let bytes = inherited.snapshot.len();
@@ -89,7 +93,7 @@
                     bytes,
                     "hot restart: predecessor is ending, inherited its snapshot"
                 );
-                return bind_new(snapshot, Some(predecessor));
+                return bind_new(snapshot, Some(predecessor), PeerProcess::Serving);
             };
             info!(
                 bytes,
@@ -99,12 +103,13 @@
                 listener,
                 snapshot,
                 predecessor: Some(predecessor),
+                peer: PeerProcess::Serving,
             })
         }
         HandoffOutcome::Busy => Err(StartError::HotRestartInProgress),
         HandoffOutcome::Failed { error, connection } => {
             warn!(%error, "hot restart: nothing inherited, starting as after a crash");
-            bind_new(None, connection)
+            bind_new(None, connection, PeerProcess::Serving)
         }
     }
 }
@@ -198,6 +203,8 @@
     }
 
     fn snapshot(&self) -> Option<Vec<u8>> {
+        // Not later: the other process may serve as soon as it has the snapshot.
+        let _ = self.events.send(Event::PeerProcess(PeerProcess::Serving));
         self.refresh_view();
         let at_ms = unix_ms();
         let fronts = vec![self.front.snapshot(at_ms, self.clock.now())];
@@ -223,6 +230,12 @@
         let _ = self.events.send(Event::UpstreamConnectionLimit(upstream));
         let gateways = self.gateway_count.saturating_mul(processes);
         let _ = self.events.send(Event::GatewayCount(gateways));
+        let peer = if processes > 1 {
+            PeerProcess::Serving
+        } else {
+            PeerProcess::Gone
+        };
+        let _ = self.events.send(Event::PeerProcess(peer));
     }
 
     fn on_list_forwarded(&self, list: &[u8]) {
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -65,6 +65,8 @@
     let platform = Platform::new(config, path)?;
     let (inheritance, endpoint_list) = platform.start_discovery()?;
     info!(gateway = %platform.config.name, "serving the platform");
+    // The core's first event, before any request is accepted.
+    let _ = platform.inbox.0.send(Event::PeerProcess(inheritance.peer));
     let front = Front::listen(platform.front_parts(admission, &inheritance)?)?;
 
     let reloader = platform.reloader(&endpoint_list);
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod cql;
 pub(crate) mod faults;
+pub(crate) mod hot_restart;
 pub(crate) mod manager;
 pub(crate) mod monitored;
 pub(crate) mod scripted_discovery;
--- a/crates/gateway/tests/upgrade.rs
+++ b/crates/gateway/tests/upgrade.rs
@@ -7,112 +7,17 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::{UnixListener, UnixStream};
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use support::hot_restart::*;
 use support::*;
 use valehatch_hot_restart::messages::{
     HEADER_BYTES, HandoffMessage, decode, decode_length, encode,
 };
 
-/// The configuration, folder and discovery service that all processes of the gateway share.
-struct GatewaySetup {
-    listen: SocketAddr,
-    folder: PathBuf,
-    config: PathBuf,
-    initial_list: String,
-    discovery_address: SocketAddr,
-    discovery: Arc<Discovery>,
-}
-
-struct Process {
-    program: GatewayProcess,
-    management: SocketAddr,
-}
-
-impl GatewaySetup {
-    fn new(initial_list: &str) -> Self {
-        let (discovery_address, discovery) = Discovery::start(initial_list.to_owned());
-        let (listen, folder) = (free_address(), temp_folder());
-        let config = folder.join("config.json");
-        // Long enough that a loaded machine causes no time-outs.
-        let text = support::config(listen, discovery_address, initial_list, 15_000);
-        std::fs::write(
-            &config,
-            text.replace("\"deadline-ms\":5000.0", "\"deadline-ms\":20000.0"),
-        )
-        .unwrap();
-        Self {
-            listen,
-            folder,
-            config,
-            initial_list: initial_list.to_owned(),
-            discovery_address,
-            discovery,
-        }
-    }
-
-    /// Spawns a process and returns without waiting for it.
-    fn spawn(&self) -> Process {
-        let management = free_address();
-        let (folder, address) = (self.folder.to_str().unwrap(), management.to_string());
-        let variables = [("TMPDIR", folder), ("BALANCER_MGMT", &address)];
-        Process {
-            program: GatewayProcess::spawn(&[], Some(&self.config), &variables),
-            management,
-        }
-    }
-
-    /// Spawns a process and waits until it is healthy and accepts handover requests.
-    fn start(&self) -> Process {
-        let process = self.spawn();
-        wait_until("the process is healthy", || process.is_healthy());
-        // The next process connects to this socket, which appears a moment after the process
-        // becomes healthy.
-        wait_until("the handover socket exists", || {
-            self.folder
-                .join(format!("handover-{}", self.listen))
-                .exists()
-        });
-        process
-    }
-}
-
-impl Process {
-    fn is_healthy(&self) -> bool {
-        self.get("/admin/health").starts_with("HTTP/1.1 200")
-    }
-
-    /// The response of the management server; empty if there is none.
-    fn get(&self, path: &str) -> String {
-        let Ok(mut stream) = TcpStream::connect(self.management) else {
-            return String::new();
-        };
-        let mut text = String::new();
-        let sent = stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes());
-        let received = sent.and_then(|()| stream.read_to_string(&mut text));
-        received.map_or(String::new(), |_| text)
-    }
-
-    fn resident_bytes(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/statm", self.program.0.id()))
-            .unwrap_or_default();
-        status
-            .split(' ')
-            .nth(1)
-            .and_then(|n| n.parse().ok())
-            .unwrap_or(0)
-            * 4096
-    }
-
-    fn descriptors(&self) -> usize {
-        std::fs::read_dir(format!("/proc/{}/fd", self.program.0.id())).map_or(0, Iterator::count)
-    }
-}
-
 fn read_request(id: u32) -> String {
     format!(
         "/* id={id},c=read,t=acme,d=20000,cluster=0 */ SELECT body FROM objects WHERE oid = 'x{id}'"
--- a/crates/policy/src/events.rs
+++ b/crates/policy/src/events.rs
@@ -158,6 +158,15 @@
     pub report: Option<LoadReport>,
 }
 
+/// Whether another process serves requests as this router too, as in a hot restart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerProcess {
+    /// Another process may be serving requests.
+    Serving,
+    /// No other process serves requests any more.
+    Gone,
+}
+
 /// An input of the decision module.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PolicyEvent {
@@ -183,6 +192,9 @@
     /// estimate of its own share of the traffic in proportion. If the number shrank, both grow
     /// again as responses arrive.
     RouterCount(u32),
+    /// Another process of this router began or ceased to serve requests. What it learns from its
+    /// answers is not known here.
+    PeerProcess(PeerProcess),
     /// The cluster's clock was corrected: times that arrived before (positions, commits, starts of
     /// endpoints) move by this much, backwards if negative.
     ClockCorrected(Span),
--- a/crates/policy/src/router.rs
+++ b/crates/policy/src/router.rs
@@ -20,7 +20,7 @@
 use crate::load_shedding::LoadShedding;
 use crate::scheduling::PendingRequest;
 use crate::sessions::SessionStore;
-use crate::settings::{Settings, SettingsError};
+use crate::settings::{SessionTracking, Settings, SettingsError};
 use crate::slow_start::ClassCosts;
 use crate::time::{Span, Time};
 
@@ -112,6 +112,7 @@
             PolicyEvent::AttemptEnded(end) => self.on_attempt_ended(end, actions),
             PolicyEvent::ClientDisconnected(request) => self.finish(*request, actions),
             PolicyEvent::RouterCount(count) => self.on_router_count(*count),
+            PolicyEvent::PeerProcess(peer) => self.sessions.on_peer_process(*peer, self.now),
             PolicyEvent::ClockCorrected(by) => self.on_clock_corrected(*by),
             PolicyEvent::Timer(_) => self.on_timer(),
             PolicyEvent::HealthCheckEnded {
@@ -143,8 +144,13 @@
             endpoint.on_clock_corrected(by, self.now);
         }
         self.sessions.on_clock_corrected(by);
+        let required_by = match self.settings.sessions {
+            SessionTracking::ClientProvided => by,
+            SessionTracking::RouterTracked => SessionStore::correction_of_required(by),
+        };
         for request in self.pending.values_mut() {
-            request.session_position = request.session_position.map(|position| position + by);
+            let required = &mut request.session_position;
+            *required = required.map(|position| position + required_by);
         }
     }
 
