--- a/crates/gateway/tests/management.rs
+++ b/crates/gateway/tests/management.rs
@@ -216,6 +216,58 @@
     assert_eq!(statistic(management, "registry_entries"), 3);
 }
 
+/// Memory that is held shows by use and returns to zero, so that operators can tell who holds it.
+#[test]
+fn memory_is_shown_by_use_and_released_with_the_answers() {
+    let (database, _) = stub_database("read-write", |_, q| {
+        thread::sleep(Duration::from_millis(if q.contains("id=1,") {
+            500
+        } else {
+            0
+        }));
+        Reply::Send(row("a"))
+    });
+    let management = free_address();
+    let known = target("s-00000001", database, "read-write", "active");
+    let gateway = start_gateway_with_config(&known, 15_000, false, |text| {
+        text.replacen(
+            "\"listen\"",
+            &format!("\"mgmt\":\"{management}\",\"listen\""),
+            1,
+        )
+    });
+    let figure = |name: &str| -> usize {
+        let (status, text) = get(management, "/admin/memory");
+        assert_eq!(status, 200);
+        let prefix = format!("balancer.memory.{name}:");
+        let line = text.lines().find_map(|line| line.strip_prefix(&prefix));
+        line.unwrap().trim_end_matches("|g").parse().unwrap()
+    };
+    assert!(figure("resident") > 0);
+    assert!(figure("limit") > figure("resident"));
+    let mut client = Client::connect(gateway.address);
+    client.send(&read_by_id(1));
+    wait_until("the request and its response are reserved", || {
+        figure("held.requests") > 0 && figure("held.responses") > 64 * 1024
+    });
+    client.send(&read_by_id(2));
+    wait_until("the pipelined response is reserved", || {
+        figure("held.pipelined_responses") > 0
+    });
+    client.answer();
+    client.answer();
+    wait_until("everything is released", || {
+        let uses = [
+            "requests",
+            "pipelined_requests",
+            "responses",
+            "pipelined_responses",
+        ];
+        uses.iter()
+            .all(|usage| figure(&format!("held.{usage}")) == 0)
+    });
+}
+
 #[test]
 fn agent_request_log_and_statistics_agree_to_the_request() {
     let ((pg, databases), (cql, nodes)) = (stub_databases(), stub_nodes());
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -29,6 +29,8 @@
 /// How long the clients with one request at a time go on.
 const PLAY: Duration = Duration::from_millis(3_000);
 const USUAL_CLIENTS: u32 = 4;
+/// How long a client waits for the gateway to read further bytes.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Ids of usual clients' requests begin here.
 const FIRST_USUAL_ID: u32 = 1_000_000;
 /// Deadline of the requests in milliseconds.
@@ -171,6 +173,20 @@
     }
 }
 
+/// Plays clients that each send their bytes at once and read whatever arrives.
+fn send_and_read(address: SocketAddr, sent_by_clients: Vec<Vec<u8>>, stop: &AtomicBool) {
+    thread::scope(|scope| {
+        for sent in sent_by_clients {
+            let stream = TcpStream::connect(address).unwrap();
+            let mut writer = stream.try_clone().unwrap();
+            // The gateway may stop reading until the test is over.
+            writer.set_write_timeout(Some(WRITE_TIMEOUT)).unwrap();
+            scope.spawn(move || writer.write_all(&session_with(&sent)));
+            scope.spawn(move || read_everything(stream, stop));
+        }
+    });
+}
+
 /// Guards against responses that wait for an earlier one and that no limit bounds: each client
 /// reads everything, but its first request is answered last.
 #[test]
@@ -179,15 +195,8 @@
     const REQUESTS: u32 = 250;
     let gateway = gateway();
     usual_clients_are_served_within_memory(&gateway, |stop| {
-        thread::scope(|scope| {
-            for n in 0..CLIENTS {
-                let requests = pipelined_reads(n * REQUESTS..(n + 1) * REQUESTS, DEADLINE_MS);
-                let stream = TcpStream::connect(gateway.address).unwrap();
-                let mut writer = stream.try_clone().unwrap();
-                scope.spawn(move || writer.write_all(&session_with(&requests)));
-                scope.spawn(move || read_everything(stream, stop));
-            }
-        });
+        let requests = |n| pipelined_reads(n * REQUESTS..(n + 1) * REQUESTS, DEADLINE_MS);
+        send_and_read(gateway.address, (0..CLIENTS).map(requests).collect(), stop);
     });
 }
 
@@ -218,16 +227,9 @@
     const SETTINGS: usize = 2_000;
     let gateway = gateway();
     usual_clients_are_served_within_memory(&gateway, |stop| {
-        thread::scope(|scope| {
-            for n in 0..CLIENTS {
-                let settings = message(b'Q', b"SET a TO b\0").repeat(SETTINGS);
-                let sent = [pipelined_reads(n..n + 1, DEADLINE_MS), settings].concat();
-                let stream = TcpStream::connect(gateway.address).unwrap();
-                let mut writer = stream.try_clone().unwrap();
-                scope.spawn(move || writer.write_all(&session_with(&sent)));
-                scope.spawn(move || read_everything(stream, stop));
-            }
-        });
+        let settings = message(b'Q', b"SET a TO b\0").repeat(SETTINGS);
+        let sent = |n| [pipelined_reads(n..n + 1, DEADLINE_MS), settings.clone()].concat();
+        send_and_read(gateway.address, (0..CLIENTS).map(sent).collect(), stop);
     });
 }
 
@@ -269,24 +271,13 @@
     let gateway = gateway();
     let padding = " ".repeat(120_000);
     usual_clients_are_served_within_memory(&gateway, |stop| {
-        thread::scope(|scope| {
-            for n in 0..CLIENTS {
-                let ids = n * REQUESTS..(n + 1) * REQUESTS;
-                let long = |id| format!("{}{padding}\0", read_query(id, DEADLINE_MS));
-                let requests: Vec<u8> = ids
-                    .flat_map(|id| message(b'Q', long(id).as_bytes()))
-                    .collect();
-                let stream = TcpStream::connect(gateway.address).unwrap();
-                let mut writer = stream.try_clone().unwrap();
-                scope.spawn(move || {
-                    writer
-                        .set_write_timeout(Some(Duration::from_millis(500)))
-                        .unwrap();
-                    let _ = writer.write_all(&session_with(&requests));
-                });
-                scope.spawn(move || read_everything(stream, stop));
-            }
-        });
+        let long = |id| format!("{}{padding}\0", read_query(id, DEADLINE_MS));
+        let requests = |n| -> Vec<u8> {
+            let ids = n * REQUESTS..(n + 1) * REQUESTS;
+            ids.flat_map(|id| message(b'Q', long(id).as_bytes()))
+                .collect()
+        };
+        send_and_read(gateway.address, (0..CLIENTS).map(requests).collect(), stop);
     });
 }
 
