Reserve the response to a client's only request with the request itself

`active_clients` only decides what is evicted; with 1,024 descriptors and 32 MB 496 clients could have had one, 33 MiB. The front now reserves both together or rejects the request.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -60,6 +60,9 @@
     pub payload: Arc<Payload>,
     /// Reservation for the request's bytes, held while the request is open.
     pub memory: Reservation,
+    /// Reservation for the response, if the client has no other open request; responses to further
+    /// requests are reserved before they are scheduled.
+    pub response_memory: Option<Reservation>,
     /// Identifies the client, as far as the front can distinguish clients. The admission queue
     /// shares capacity evenly between clients.
     pub client: u64,
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -116,7 +116,7 @@
             deadline: arrived + time_allowed,
             payload: incoming.payload,
             memory: Some(incoming.memory),
-            response_memory: ResponseMemory::default(),
+            response_memory: incoming.response_memory.map(Into::into).unwrap_or_default(),
             held: None,
             attempts: 0,
             first_sent_at: None,
--- a/crates/core/src/response_memory.rs
+++ b/crates/core/src/response_memory.rs
@@ -1,11 +1,10 @@
 //! Memory for responses: reserved before a request is scheduled, so that no response arrives
 //! without room for it.
 //!
-//! The first open request of a client is scheduled at once; the front bounds the number of clients
-//! that have one. Its further requests, which are pipelined, are scheduled in the order of their
-//! arrival, as far as the budget has room for their responses. Until then they are held here, and
-//! clients with held requests take turns. A held request is rejected after a part of its time, as
-//! in the admission queue.
+//! The front reserves the response to a client's only request, or rejects the request. Further
+//! requests, which are pipelined, are scheduled in the order of their arrival, as far as the budget
+//! has room for their responses. Until then they are held here, and clients with held requests take
+//! turns. A held request is rejected after a part of its time, as in the admission queue.
 //!
 //! Inputs: accepted requests, the budget, and the unwritten responses of each client, which fall as
 //! the front writes responses. State: the held requests in [`ClientConnection::held`], bounded by
@@ -71,6 +70,14 @@
     }
 }
 
+impl ResponseMemory {
+    /// Counts the response as unwritten until this is dropped.
+    fn count_for(mut self, client: &ClientConnection) -> Self {
+        self._unwritten = Some(client.unwritten.add());
+        self
+    }
+}
+
 impl From<Reservation> for ResponseMemory {
     fn from(reserved: Reservation) -> Self {
         Self {
@@ -90,21 +97,15 @@
     /// Reserves memory for the response to a client's next request; `None` if there is no room.
     fn try_reserve(&self, client: &ClientConnection) -> Option<ResponseMemory> {
         let unwritten = client.unwritten.count();
-        let reserved = if unwritten == 0 {
-            // The front bounds the number of clients with an open request.
-            self.budget
-                .reserve(MemoryUse::Responses, self.response_bytes)
+        let usage = if unwritten == 0 {
+            MemoryUse::Responses
         } else if unwritten < self.budget.max_responses_of_client(self.response_bytes) {
-            let usage = MemoryUse::PipelinedResponses;
-            self.budget.try_reserve(usage, self.response_bytes)?
+            MemoryUse::PipelinedResponses
         } else {
             return None;
         };
-        Some(ResponseMemory {
-            reserved: Some(reserved),
-            additional: None,
-            _unwritten: Some(client.unwritten.add()),
-        })
+        let reserved = self.budget.try_reserve(usage, self.response_bytes)?;
+        Some(reserved.into())
     }
 }
 
@@ -118,13 +119,16 @@
         };
         let pending = self.requests.get_mut(&id)?;
         let client = self.clients.entry(pending.client).or_default();
-        let memory = if client.held.is_empty() {
+        let reserved = std::mem::take(&mut pending.response_memory);
+        let memory = if reserved.reserved.is_some() {
+            Some(reserved)
+        } else if client.held.is_empty() {
             limits.try_reserve(client)
         } else {
             None
         };
         if let Some(memory) = memory {
-            pending.response_memory = memory;
+            pending.response_memory = memory.count_for(client);
             return self.schedule(now, held);
         }
         client.held.push_back(id);
@@ -178,6 +182,7 @@
         let client = self.clients.get_mut(&id)?;
         let first = *client.held.front()?;
         let memory = self.config.response_limits.as_ref()?.try_reserve(client)?;
+        let memory = memory.count_for(client);
         client.held.pop_front();
         if client.held.is_empty() {
             self.clients_with_held.remove(&id);
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -123,6 +123,7 @@
             class,
         }),
         memory: memory.reserve(MemoryUse::Requests, 10),
+        response_memory: None,
         client: 1,
     }
 }
--- a/crates/cql/src/clients.rs
+++ b/crates/cql/src/clients.rs
@@ -124,7 +124,8 @@
                 last_write_at: None,
                 client: session.client_number(),
                 payload: Arc::new(payload),
-                memory,
+                memory: memory.request,
+                response_memory: memory.response,
             },
         )
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -145,6 +145,7 @@
         let state = State::new(config, parts.seed).map_err(StartError::configuration)?;
         let limits = ClientLimits {
             memory: parts.memory,
+            response_bytes: parts.response_bytes,
             reports_rejections: has_observer,
         };
         let (events, inbox) = parts.inbox;
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -20,7 +20,7 @@
 pub use request_body::{BodyError, RequestBody};
 pub use response_body::ResponseBody;
 pub(crate) use response_body::STREAMING_SOCKET_BUFFER;
-pub use session::{RequestReader, Session};
+pub use session::{RequestMemory, RequestReader, Session};
 
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -119,6 +119,8 @@
 pub struct ClientLimits {
     /// Budget of all bytes that are held for the clients.
     pub memory: Arc<MemoryBudget>,
+    /// Maximum size in bytes of a response that is buffered without a further reservation.
+    pub response_bytes: usize,
     /// Whether requests that are rejected or abandoned before they reach the core are reported to
     /// the core.
     pub reports_rejections: bool,
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -85,6 +85,7 @@
     let (events, _inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
         memory: memory_budget(),
+        response_bytes: 1024,
         reports_rejections: false,
     };
     let (connection, _, mut client) = connection();
@@ -207,6 +208,7 @@
     let (events, _inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
         memory: memory_budget(),
+        response_bytes: 1024,
         reports_rejections: false,
     };
     let (connection, _, _client) = connection();
@@ -454,6 +456,7 @@
     let (events, _inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
         memory: memory_budget(),
+        response_bytes: 1024,
         reports_rejections: false,
     };
     let (connection, _, mut client) = connection();
--- a/crates/net/src/clients/registry.rs
+++ b/crates/net/src/clients/registry.rs
@@ -26,6 +26,7 @@
     pub limiter: Arc<SharedConnectionLimiter>,
     pub reports_rejections: bool,
     pub memory: Arc<MemoryBudget>,
+    pub response_bytes: usize,
 }
 
 impl Registry {
@@ -44,6 +45,7 @@
             limiter,
             reports_rejections: limits.reports_rejections,
             memory: limits.memory,
+            response_bytes: limits.response_bytes,
         }
     }
 
--- a/crates/net/src/clients/session.rs
+++ b/crates/net/src/clients/session.rs
@@ -120,6 +120,15 @@
     }
 }
 
+/// Memory reserved for a request.
+#[derive(Debug)]
+pub struct RequestMemory {
+    /// For the request while it is open.
+    pub request: Reservation,
+    /// For its response; `None` if the client is owed others.
+    pub response: Option<Reservation>,
+}
+
 /// A client connection as seen by its protocol's handler.
 pub struct Session {
     connection: Arc<ClientConnection>,
@@ -142,13 +151,14 @@
         self.connection.id
     }
 
-    /// Reserves memory for a request that has been read completely; `bytes` is the size of its
-    /// message. Blocks while there is none for one more request of a client that is owed responses.
+    /// Reserves memory for a request that has been read completely, and for its response if the
+    /// client is owed no other; `bytes` is the size of its message. Blocks while there is no memory
+    /// for one more request of a client that is owed responses.
     ///
     /// # Errors
     /// Returns why the request has to be rejected: requests in flight hold all descriptors or all
     /// memory.
-    pub fn reserve(&self, bytes: usize) -> Result<Reservation, RejectionReason> {
+    pub fn reserve(&self, bytes: usize) -> Result<RequestMemory, RejectionReason> {
         let mut state = self.connection.state();
         state.input = RequestInput::Complete;
         self.connection.report_activity(&mut state);
@@ -157,12 +167,18 @@
             return Err(RejectionReason::OutOfConnections);
         }
         let bytes = bytes * REQUEST_COPIES + REQUEST_OVERHEAD_BYTES;
-        let reserved = self.connection.reserve_memory(|pending| {
-            let usage = match pending {
-                PendingResponses::None => MemoryUse::Requests,
-                PendingResponses::Some => MemoryUse::PipelinedRequests,
-            };
-            self.registry.memory.try_reserve(usage, bytes)
+        let memory = &self.registry.memory;
+        let reserved = self.connection.reserve_memory(|pending| match pending {
+            PendingResponses::None => Some(RequestMemory {
+                request: memory.try_reserve(MemoryUse::Requests, bytes)?,
+                response: Some(
+                    memory.try_reserve(MemoryUse::Responses, self.registry.response_bytes)?,
+                ),
+            }),
+            PendingResponses::Some => Some(RequestMemory {
+                request: memory.try_reserve(MemoryUse::PipelinedRequests, bytes)?,
+                response: None,
+            }),
         });
         reserved.ok().flatten().ok_or(RejectionReason::OutOfMemory)
     }
--- a/crates/pg/src/clients/request.rs
+++ b/crates/pg/src/clients/request.rs
@@ -7,8 +7,7 @@
 use std::sync::Arc;
 
 use valehatch_core::{IncomingRequest, Payload};
-use valehatch_memory_budget::Reservation;
-use valehatch_net::clients::Session;
+use valehatch_net::clients::{RequestMemory, Session};
 use valehatch_policy::{Consistency, GroupId, Idempotency, RequestClass, SessionKey, Span};
 
 use super::PostgresHandler;
@@ -75,7 +74,7 @@
         &self,
         session: &Session,
         query: &[u8],
-        reserve: impl FnOnce(usize, Option<usize>, GroupId) -> Option<Reservation>,
+        reserve: impl FnOnce(usize, Option<usize>, GroupId) -> Option<RequestMemory>,
     ) -> Result<Option<IncomingRequest>, RequestError> {
         let commented = CommentedQuery::parse(query)?;
         let name = commented.required("id")?;
@@ -118,7 +117,8 @@
                 write: contract.consistency == Consistency::Write,
                 class,
             }),
-            memory,
+            memory: memory.request,
+            response_memory: memory.response,
         }))
     }
 
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -587,6 +587,7 @@
                 last_write_at: None,
                 payload,
                 memory,
+                response_memory: None,
                 client,
             },
         });
