Write a held rejection before the reader waits for memory

Seen by reading: at the end of a process the rejection of a connection's only pending request is held until the reader has handled the message that it is reading. A reader that waits for memory until a response is written would wait for that rejection, and the exit would cut both off.

The reader writes the held rejection before it waits, and later ones are not held, as when it closes a connection.

--- a/crates/net/src/clients/connection.rs
+++ b/crates/net/src/clients/connection.rs
@@ -250,7 +250,7 @@
     /// # Errors
     /// See [`ClientConnection::wait_for_pending_below`].
     pub(super) fn reserve_memory<T>(
-        &self,
+        self: &Arc<Self>,
         reserve: impl Fn(PendingResponses) -> Option<T>,
     ) -> io::Result<Option<T>> {
         let mut state = self.state();
@@ -266,6 +266,7 @@
             if reserved.is_some() || pending == PendingResponses::None {
                 return Ok(reserved);
             }
+            state = self.write_held_rejection(state);
             state = self.wait_for_written_response(state)?;
         }
     }
--- a/crates/net/src/clients/connection/exit.rs
+++ b/crates/net/src/clients/connection/exit.rs
@@ -59,17 +59,20 @@
         }
     }
 
-    /// Called when the reading thread is about to close the connection once all responses are
-    /// written. It does not call [`ClientConnection::finish_message`] again, so a rejection held
-    /// for that call is written now, and later ones are not held.
-    pub(in crate::clients) fn begin_close_by_reader(self: &Arc<Self>) {
-        let mut state = self.state();
+    /// Called when the reading thread is about to wait until responses are written. It does not
+    /// call [`ClientConnection::finish_message`] before that, so a rejection held for that call is
+    /// written now, and later ones are not held.
+    pub(in crate::clients) fn write_held_rejection<'a>(
+        self: &'a Arc<Self>,
+        mut state: MutexGuard<'a, ConnectionState>,
+    ) -> MutexGuard<'a, ConnectionState> {
         state.input = RequestInput::Partial;
-        let waiting = state.last_rejection.take();
+        let Some(rejection) = state.last_rejection.take() else {
+            return state;
+        };
         drop(state);
-        if let Some(rejection) = waiting {
-            self.enqueue(Some(rejection.ticket), rejection.response, rejection.memory);
-        }
+        self.enqueue(Some(rejection.ticket), rejection.response, rejection.memory);
+        self.state()
     }
 
     fn write_rejection(
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -431,6 +431,33 @@
     assert_eq!(closing.join().unwrap(), SessionStatus::Idle);
 }
 
+// Guards against a rejection that waits for the reader, which waits for memory until the rejection
+// is written.
+#[test]
+fn rejection_is_written_before_and_while_reader_waits_for_memory() {
+    for rejected_before in [true, false] {
+        let (connection, _reader, mut client) = connection_with_request(RequestInput::Complete);
+        if rejected_before {
+            connection.reject_and_close(last_rejection());
+        }
+        let waiting = Arc::clone(&connection);
+        let reserving = std::thread::spawn(move || {
+            let without_pending = |pending| (pending == PendingResponses::None).then_some(());
+            waiting.reserve_memory(without_pending)
+        });
+        if !rejected_before {
+            while !connection.state().has_waiting_reader {
+                std::thread::yield_now();
+            }
+            connection.reject_and_close(last_rejection());
+        }
+        let mut answer = [0; 9];
+        client.read_exact(&mut answer).unwrap();
+        assert_eq!(&answer, b"rejected;");
+        assert!(matches!(reserving.join().unwrap(), Ok(Some(()))));
+    }
+}
+
 #[test]
 fn recently_answered_connection_stays_open_until_exit() {
     let (connection, _, mut client) = connection();
--- a/crates/net/src/clients/session.rs
+++ b/crates/net/src/clients/session.rs
@@ -85,7 +85,7 @@
     /// closed the connection too.
     pub fn close_gracefully(&mut self, closing_error: Vec<u8>) -> SessionStatus {
         let connection = Arc::clone(self.connection());
-        connection.begin_close_by_reader();
+        drop(connection.write_held_rejection(connection.state()));
         // If nothing can be written any more, only the client's close remains to be read.
         if connection.closing_since().is_none()
             && connection.receive_status() != ReceiveStatus::PeerClosed
