Schedule held requests by a timer and expire each by its own

Each turn walked over all clients with held requests, and every 5 ms over all held requests, which 5,000 of them would make a tenth of a core by estimate, not measured. A timer of 2 ms schedules them, and each has a timer for its end, as other requests have.

--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -141,7 +141,6 @@
         while let Some(timer) = self.pop_due_timer(now) {
             self.on_timer(now, timer, &mut policy_events, effects);
         }
-        self.schedule_held(now, &mut policy_events);
         self.apply_admission_decisions(now, &mut policy_events, effects);
         let mut actions = vec![];
         self.router.step(now, &policy_events, &mut actions);
--- a/crates/core/src/requests.rs
+++ b/crates/core/src/requests.rs
@@ -380,7 +380,7 @@
             self.open_names.remove(name);
         }
         if request.held.is_some() {
-            self.forget_held(request.client, id);
+            self.forget_held(id, &request);
         }
         for connection in self.connections_of(id) {
             let ended = self.cancel_unsent_attempt(now, connection, effects);
--- a/crates/core/src/response_memory.rs
+++ b/crates/core/src/response_memory.rs
@@ -22,11 +22,11 @@
 use crate::client_connections::ClientConnection;
 use crate::messages::{ClientId, Effect, FinalAnswer};
 use crate::reducer::State;
+use crate::requests::PendingRequest;
 use crate::timers::Timer;
 
-/// Interval at which held requests are scheduled or rejected. Written responses free memory without
-/// an event.
-const HELD_INTERVAL: Span = Span::from_millis(5);
+/// Interval at which held requests are scheduled. Written responses free memory without an event.
+const HELD_INTERVAL: Span = Span::from_millis(2);
 /// Part of its time, in tenths, after which a held request is rejected, so that its client can
 /// still retry.
 const HELD_TENTHS: i64 = 4;
@@ -134,6 +134,8 @@
         client.held.push_back(id);
         self.clients_with_held.insert(pending.client);
         pending.held = Some(Box::new(held));
+        let held_until = pending.held_until();
+        self.set_timer(held_until, Timer::HeldExpired(id));
         self.set_held_timer(now);
         None
     }
@@ -151,7 +153,7 @@
 
     /// Schedules held requests as far as there is room for their responses. Clients take turns, one
     /// request at a time.
-    pub(crate) fn schedule_held(&mut self, now: Time, policy_events: &mut Vec<PolicyEvent>) {
+    fn schedule_held(&mut self, now: Time, policy_events: &mut Vec<PolicyEvent>) {
         let mut without_room = 0;
         while without_room < self.clients_with_held.len() {
             let Some(client) = self.next_client_with_held() else {
@@ -189,11 +191,16 @@
         }
         let pending = self.requests.get_mut(&first)?;
         pending.response_memory = memory;
-        pending.held.take().map(|held| *held)
+        let held = pending.held.take().map(|held| *held);
+        let held_until = pending.held_until();
+        self.cancel_timer(held_until, Timer::HeldExpired(first));
+        held
     }
 
-    /// Removes a request that ends while it is held.
-    pub(crate) fn forget_held(&mut self, client: ClientId, id: RequestId) {
+    /// Forgets a request that ends while it is held.
+    pub(crate) fn forget_held(&mut self, id: RequestId, request: &PendingRequest) {
+        self.cancel_timer(request.held_until(), Timer::HeldExpired(id));
+        let client = request.client;
         let Some(connection) = self.clients.get_mut(&client) else {
             self.clients_with_held.remove(&client);
             return;
@@ -204,40 +211,26 @@
         }
     }
 
-    /// Rejects held requests that have waited for too long, and sets the timer again while requests
-    /// are held.
-    pub(crate) fn on_held_timer(&mut self, now: Time, effects: &mut Vec<Effect>) {
+    /// Schedules held requests, and sets the timer again while any are left.
+    pub(crate) fn on_held_timer(&mut self, now: Time, policy_events: &mut Vec<PolicyEvent>) {
         self.held_timer_set = false;
-        for id in self.expired_held(now) {
-            let Some(request) = self.requests.get(&id) else {
-                continue;
-            };
-            let answer = FinalAnswer::Rejected {
-                retry_after: self.config.default_retry_after(request.class),
-                overloaded: true,
-            };
-            let outcome = FinalOutcome::Rejected(RejectionReason::OutOfMemory);
-            self.answer(now, id, answer, outcome, effects);
-        }
+        self.schedule_held(now, policy_events);
         if !self.clients_with_held.is_empty() {
             self.set_held_timer(now);
         }
     }
 
-    /// Held requests that have waited for too long.
-    fn expired_held(&self, now: Time) -> Vec<RequestId> {
-        let held = self
-            .clients_with_held
-            .iter()
-            .filter_map(|client| self.clients.get(client))
-            .flat_map(|client| &client.held);
-        let is_expired = |id: &&RequestId| {
-            self.requests.get(id).is_some_and(|request| {
-                let longest_wait = Span((request.deadline - request.arrived).0 / 10 * HELD_TENTHS);
-                now - request.arrived > longest_wait
-            })
+    /// Rejects a request that has been held for too long.
+    pub(crate) fn on_held_expired(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(&id).filter(|r| r.held.is_some()) else {
+            return;
         };
-        held.filter(is_expired).copied().collect()
+        let answer = FinalAnswer::Rejected {
+            retry_after: self.config.default_retry_after(request.class),
+            overloaded: true,
+        };
+        let outcome = FinalOutcome::Rejected(RejectionReason::OutOfMemory);
+        self.answer(now, id, answer, outcome, effects);
     }
 
     fn set_held_timer(&mut self, now: Time) {
@@ -247,3 +240,10 @@
         }
     }
 }
+
+impl PendingRequest {
+    /// Until when the request may be held.
+    fn held_until(&self) -> Time {
+        self.arrived + Span((self.deadline - self.arrived).0 / 10 * HELD_TENTHS)
+    }
+}
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -42,9 +42,10 @@
     FailOpenRequests,
     /// Shutdown: requests the exit of the process; repeats.
     Exit,
-    /// Schedules or rejects requests that are held until there is memory for their responses;
-    /// repeats.
+    /// Schedules requests that are held until there is memory for their responses; repeats.
     HeldRequests,
+    /// The request has been held for too long.
+    HeldExpired(RequestId),
 }
 
 /// A timer and when it is due.
@@ -99,7 +100,8 @@
             Timer::CloseClients => self.on_close_clients_timer(now, effects),
             Timer::RejectAfterHandoff => self.on_reject_after_handoff_timer(),
             Timer::Exit => self.on_exit_timer(now, effects),
-            Timer::HeldRequests => self.on_held_timer(now, effects),
+            Timer::HeldRequests => self.on_held_timer(now, policy_events),
+            Timer::HeldExpired(id) => self.on_held_expired(now, id, effects),
             Timer::FailOpenRequests => self.fail_open_requests(now, policy_events, effects),
         }
     }
