Review case 9: judge a read behind an upgrade, where no excuse holds

Need: WIRE excuses the send of a fresh read to a former primary until an outcome has told its role, so the case as first committed judged a read that the excuse may cover.

--- a/review/stand-ins-2/common.rs
+++ b/review/stand-ins-2/common.rs
@@ -126,14 +126,35 @@
         gateway
     }
 
+    /// Starts the program beside a running one, as for an upgrade, and waits until its own second address
+    /// says yes.
+    pub fn start_beside(address: SocketAddr, config: &PathBuf) -> Self {
+        let mgmt = free_address();
+        let gateway = Self::spawn_with(address, config, "", &[("BALANCER_MGMT", mgmt.to_string())]);
+        for _ in 0..300 {
+            if is_healthy(mgmt) {
+                note("gateway: the new process has said yes");
+                return gateway;
+            }
+            sleep_ms(20);
+        }
+        finish(CANNOT_RUN, "the new process did not say yes within 6 s")
+    }
+
     pub fn spawn(address: SocketAddr, config: &PathBuf, arguments: &str) -> Self {
+        Self::spawn_with(address, config, arguments, &[])
+    }
+
+    fn spawn_with(address: SocketAddr, config: &PathBuf, arguments: &str, variables: &[(&str, String)]) -> Self {
+        let index = world().children.lock().unwrap().len();
         let folder = temp_file("tmp");
         std::fs::create_dir_all(&folder).unwrap();
-        let log = File::create(temp_file(&format!("gateway-{}.log", address.port()))).unwrap();
+        let log = File::create(temp_file(&format!("gateway-{index}.log"))).unwrap();
         let mut command = Command::new("/bin/sh");
         command
             .args(["-c", &format!("{} {arguments}", run_command())])
             .env("TMPDIR", &folder)
+            .envs(variables.iter().map(|(name, value)| (*name, value.as_str())))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(log);
@@ -189,8 +210,7 @@
     }
 
     pub fn log(&self) -> String {
-        std::fs::read_to_string(temp_file(&format!("gateway-{}.log", self.address.port())))
-            .unwrap_or_default()
+        std::fs::read_to_string(temp_file(&format!("gateway-{}.log", self.index))).unwrap_or_default()
     }
 
     /// Copies the gateway's own log into the record.
@@ -202,6 +222,17 @@
     }
 }
 
+fn is_healthy(mgmt: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(mgmt) else {
+        return false;
+    };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let _ = stream.write_all(b"GET /admin/health HTTP/1.1\r\nHost: gateway\r\n\r\n");
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    answer.starts_with("HTTP/1.1 2")
+}
+
 // ---- PostgreSQL's messages ----
 
 pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
