End a planned stop behind the last response that has begun

Cause: the earliest moment at which SIGKILL may come was taken for the moment at which it comes. The core requests the exit 0.1 s before it, and Clients::can_exit agreed after 70 ms in any case, also while a response was being written; neither asked whether something was owed. Evidence: the end at 3,653 ms is the timer's 3,600 ms and the 50 ms of the grace; the log has nothing but the shutdown request, and the database was still writing.

Change: a response that is pending when the exit is first requested is owed, and exit_wait.rs, a state machine without I/O, keeps the process until it is written. Its bounds are the existing ones: a client that receives nothing for 10 s, a database that sends nothing for 30 s. Requests that come later are rejected and extend nothing. A repeated SIGTERM no longer sets the timers again.

--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -306,7 +306,7 @@
     RecordOutcome(Box<RequestRecord>),
     /// Publish the live view.
     PublishView(Box<LiveView>),
-    /// End the process as soon as no message is partly read or written; repeated until then.
+    /// End the process as soon as it owes no response; repeated until then.
     Exit,
 }
 
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -12,6 +12,21 @@
 //! | `Rejecting` | adds the cause | adds the cause | `RejectingAndClosing` | same |
 //! | `RejectingAndClosing` | adds the cause | adds the cause | same | same |
 //!
+//! A shutdown ends with repeated [`Effect::Exit`], from shortly before the earliest moment at which
+//! the platform may kill the process. The kill may come much later, and what it finds unanswered is
+//! not lost, whereas what the process cuts off by ending itself is. So the requests for an exit say
+//! that nothing new is begun, and the clients' side decides when the process ends:
+//!
+//! | when the exit is requested | what happens to it | ends at the latest |
+//! | --- | --- | --- |
+//! | a response is being streamed | it continues to its last byte | client or endpoint stands still |
+//! | an answer is queued, or partly written | it is written | client stands still |
+//! | an answer waits behind one of these | it is written behind it | with it |
+//! | a new request on their connections | it is rejected, behind them | with them, and a short grace |
+//! | any other connection | it is closed with an error | a short grace |
+//!
+//! A process that owes no response exits when the grace is over.
+//!
 //! `Rejecting` may come before `Closing`: if the longest deadline of all classes is short, open
 //! requests receive their final answer before client connections begin to close.
 
@@ -48,10 +63,9 @@
 pub(crate) const RETRY_AFTER_HANDOFF: Span = Span::from_millis(1);
 /// Interval at which idle client connections are closed.
 const CLOSE_INTERVAL: Span = Span::from_millis(25);
-/// The process exits this long before the kill, even if clients keep connections open.
+/// The exit is requested this long before the kill, even if clients keep connections open.
 const EXIT_LEAD: Span = Span::from_millis(100);
-/// Interval at which [`Effect::Exit`] is repeated; the process exits once no message is partly read
-/// or written.
+/// Interval at which [`Effect::Exit`] is repeated; the process exits once it owes no response.
 const EXIT_INTERVAL: Span = Span::from_millis(5);
 
 /// Why the process shuts down.
@@ -242,9 +256,12 @@
 }
 
 impl State {
-    /// Schedules the steps of a planned shutdown so that the process exits before the platform
-    /// kills it.
+    /// Schedules the steps of a planned shutdown so that the process, if it owes no response by
+    /// then, exits before the platform kills it. A repeated request does not change the schedule.
     pub(crate) fn on_shutdown_requested(&mut self, now: Time) {
+        if self.shutdown.is_requested() {
+            return;
+        }
         self.shutdown = self.shutdown.after(ShutdownEvent::Requested);
         let classes = &self.config.settings.classes;
         let longest = classes.iter().map(|class| class.deadline).max();
@@ -306,8 +323,8 @@
         self.set_timer(now + EXIT_INTERVAL, Timer::Exit);
     }
 
-    /// Sends a final answer to each open request. Responses that are being streamed continue until
-    /// the process exits.
+    /// Sends a final answer to each open request. Responses that are being streamed continue, and
+    /// the exit waits for them.
     pub(crate) fn fail_open_requests(
         &mut self,
         now: Time,
--- a/crates/core/tests/shutdown_schedule.rs
+++ b/crates/core/tests/shutdown_schedule.rs
@@ -96,6 +96,19 @@
     assert_eq!(fixture.wait_for(exits), Some(3_600));
 }
 
+// Each repetition would otherwise add timers that repeat until the exit, which may come late.
+#[test]
+fn repeated_shutdown_request_does_not_change_schedule() {
+    let mut fixture = Fixture::new(ms(3_000), vec![Event::ShutdownRequested]);
+    fixture.elapsed_ms = 1_000;
+    fixture.turn(vec![Event::ShutdownRequested]);
+    assert_eq!(fixture.wait_for(closes_idle_clients), Some(3_455));
+    assert_eq!(fixture.wait_for(exits), Some(3_600));
+    fixture.elapsed_ms = 4_700;
+    let exits = fixture.turn(vec![]).into_iter().filter(exits);
+    assert_eq!(exits.count(), 1, "one timer repeats the exit");
+}
+
 // If the deadlines of all classes are short, open requests receive their final answer before client
 // connections begin to close. All client connections then close at the same time, and none earlier.
 #[test]
--- a/crates/gateway/tests/long.rs
+++ b/crates/gateway/tests/long.rs
@@ -9,12 +9,9 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
+use support::long_values::*;
 use support::*;
 
-const MIB: usize = 1024 * 1024;
-/// The longest value that the gateway buffers.
-const LONGEST_BUFFERED: usize = 64 * 1024;
-
 fn request(class: &str, id: usize, d: u32) -> String {
     let verb = if class == "read" {
         "SELECT body"
@@ -24,13 +21,6 @@
     format!("/* id={id},c={class},t=acme,d={d},k=k{id},cluster=0 */ {verb} 'x{id}'")
 }
 
-/// A value of this length of which no two parts are equal.
-fn long_value(length: usize) -> String {
-    let all = (0..)
-        .flat_map(|n: u64| format!("{:x},", n.wrapping_mul(0x9e37_79b9_7f4a_7c15)).into_bytes());
-    all.take(length).map(char::from).collect()
-}
-
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod cql;
 pub(crate) mod faults;
 pub(crate) mod hot_restart;
+pub(crate) mod long_values;
 pub(crate) mod manager;
 pub(crate) mod memory;
 pub(crate) mod monitored;
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -11,6 +11,7 @@
 
 mod blocked_writers;
 mod connection;
+mod exit_wait;
 mod listener;
 mod message_reader;
 mod registry;
@@ -28,7 +29,6 @@
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
 
 use crossbeam_channel::{Sender, unbounded};
 
@@ -41,16 +41,10 @@
 use crate::connection_limits::SharedConnectionLimiter;
 use crate::lock;
 use connection::{CLOSING_ERROR_RETRY_AFTER, ClientConnection, EXIT_SETTLE_TIME, LastRejection};
+use exit_wait::{ExitWait, RemainingWork};
 use registry::Registry;
 use waiting::{WaitingConnection, WaitingConnections};
 
-/// Maximum time that the exit waits for requests being read and responses being written.
-const EXIT_GRACE: Duration = Duration::from_millis(50);
-/// How long the exit waits after the last closing error. Requests that arrive in this time are
-/// discarded: left unread, their bytes would make the kernel reset the connection, and the client
-/// could lose the error.
-const EXIT_LINGER_TIME: Duration = Duration::from_millis(20);
-
 /// The client side of one protocol. One handler serves all connections of a front, from several
 /// threads at once.
 pub trait RequestHandler: Send + Sync + 'static {
@@ -147,8 +141,7 @@
     backlog_handed_over: AtomicBool,
     /// Set while the accepting thread runs.
     accepting: AtomicBool,
-    /// When [`Clients::can_exit`] was first called.
-    exit_requested_at: Mutex<Option<Instant>>,
+    exit_wait: Mutex<ExitWait>,
 }
 
 impl Clients {
@@ -172,7 +165,7 @@
             accepting_stopped: AtomicBool::new(false),
             backlog_handed_over: AtomicBool::new(false),
             accepting: AtomicBool::new(false),
-            exit_requested_at: Mutex::default(),
+            exit_wait: Mutex::default(),
         }))
     }
 
@@ -253,28 +246,23 @@
         });
     }
 
-    /// Whether the program may exit: every request is answered or rejected, all responses are
-    /// written, every client has had time to read its response, and no connection was closed within
-    /// the last 20 ms. Callers poll this method; it returns true after 70 ms in any case.
+    /// Whether the program may exit. Callers poll this method. Each response that was pending at the
+    /// first call is completed first, however long its client and its endpoint take, within the
+    /// timeouts for those that stand still. Then, for up to 220 ms (70 ms from the first call if the
+    /// responses took less than 50 ms), every request is answered or rejected, and every client has time to read its response.
     pub fn can_exit(&self) -> bool {
-        let requested_at = *lock(&self.exit_requested_at).get_or_insert_with(Instant::now);
         let connections = self.registry.all();
         for connection in &connections {
             connection.close_for_exit();
         }
-        let busy = self.accepting.load(Ordering::Relaxed)
-            || connections.iter().any(|connection| connection.is_busy());
-        let unsettled = connections.iter().any(|connection| connection.is_open());
-        let waited = requested_at.elapsed();
-        if (busy || unsettled) && waited < EXIT_GRACE {
-            return false;
+        let work = self.remaining_work(&connections);
+        let mut exit_wait = lock(&self.exit_wait);
+        let was_delayed = exit_wait.is_delayed();
+        let may_exit = exit_wait.may_exit(self.registry.clock.now(), work);
+        if exit_wait.is_delayed() && !was_delayed {
+            tracing::info!("exit waits for responses that have begun");
         }
-        let now = self.registry.clock.now();
-        let lingering = connections
-            .iter()
-            .filter_map(|connection| connection.closing_since())
-            .any(|since| u128::from((now - since).0.unsigned_abs()) < EXIT_LINGER_TIME.as_micros());
-        if lingering && waited < EXIT_GRACE + EXIT_LINGER_TIME {
+        if !may_exit {
             return false;
         }
         for connection in &connections {
@@ -283,6 +271,17 @@
         true
     }
 
+    fn remaining_work(&self, connections: &[Arc<ClientConnection>]) -> RemainingWork {
+        let owes_response = |c: &Arc<ClientConnection>| c.owes_response_at_exit();
+        let is_unsettled = |c: &Arc<ClientConnection>| c.is_busy() || c.is_open();
+        RemainingWork {
+            owes_responses: connections.iter().any(owes_response),
+            is_unsettled: self.accepting.load(Ordering::Relaxed)
+                || connections.iter().any(is_unsettled),
+            last_closed_at: connections.iter().filter_map(|c| c.closing_since()).max(),
+        }
+    }
+
     /// Stops accepting connections, once the backlog is empty or handed over.
     pub fn stop_accepting(&self, backlog: BacklogOwner) {
         let handed_over = backlog == BacklogOwner::OtherProcess;
--- a/crates/net/src/clients/connection.rs
+++ b/crates/net/src/clients/connection.rs
@@ -308,12 +308,16 @@
     /// Returns `BrokenPipe` if this side has closed the connection: a request that arrived during
     /// the close is answered by the closing error and is not executed.
     pub(super) fn add_pending_response(&self) -> io::Result<()> {
-        let mut state = self.state();
+        self.add_pending_response_to(&mut self.state())
+    }
+
+    /// As [`ClientConnection::add_pending_response`], with the state's lock held by the caller.
+    fn add_pending_response_to(&self, state: &mut ConnectionState) -> io::Result<()> {
         if state.phase != ConnectionPhase::Open {
             return Err(ErrorKind::BrokenPipe.into());
         }
         state.pending_responses += 1;
-        self.report_activity(&mut state);
+        self.report_activity(state);
         Ok(())
     }
 }
--- a/crates/net/src/clients/connection/exit.rs
+++ b/crates/net/src/clients/connection/exit.rs
@@ -105,10 +105,27 @@
         state.phase == ConnectionPhase::Open && state.is_client_connected()
     }
 
+    /// Whether the exit would cut off a response that was pending when it was first requested, or the
+    /// answer with which the connection is being closed. A response that was cut off already, or
+    /// whose client has disconnected, is not owed any more.
+    pub(in crate::clients) fn owes_response_at_exit(&self) -> bool {
+        let state = self.state();
+        if !state.is_client_connected() {
+            return false;
+        }
+        match state.phase {
+            ConnectionPhase::Open => state.owes_response_at_exit(),
+            ConnectionPhase::Closing { .. } => self.write_queue.is_writing(),
+            ConnectionPhase::Aborted { .. } => false,
+        }
+    }
+
     /// Closes the connection with the closing error. Does nothing while a request is in flight, or
-    /// if the connection was used within [`EXIT_SETTLE_TIME`] and no input has arrived since.
+    /// if the connection was used within [`EXIT_SETTLE_TIME`] and no input has arrived since. The
+    /// first call also determines which responses the exit waits for.
     pub(in crate::clients) fn close_for_exit(self: &Arc<Self>) {
-        let state = self.state();
+        let mut state = self.state();
+        state.request_exit();
         if state.input == RequestInput::Complete
             || state.pending_responses > 0
             || state.closing_since().is_some()
--- a/crates/net/src/clients/connection/state.rs
+++ b/crates/net/src/clients/connection/state.rs
@@ -56,6 +56,11 @@
     pub presence: ClientPresence,
     /// Responses that are not completely written, including a closing error.
     pub pending_responses: usize,
+    /// Responses that are completely written.
+    written_responses: usize,
+    /// Value of `written_responses` at which the client has received every response that was
+    /// pending when the exit was first requested; `None` before that.
+    owed_at_exit: Option<usize>,
     /// Number of requests received.
     pub requests: u32,
     /// Set if the client sends its first message in pieces.
@@ -88,6 +93,8 @@
             phase: ConnectionPhase::Open,
             presence: ClientPresence::Connected,
             pending_responses: 0,
+            written_responses: 0,
+            owed_at_exit: None,
             requests: 0,
             writes_in_pieces: false,
             reported_activity: ConnectionActivity::Unused,
@@ -140,6 +147,31 @@
         }
     }
 
+    /// Records that pending responses are completely written.
+    pub(in crate::clients) const fn finish_responses(&mut self, responses: usize) {
+        self.pending_responses -= responses;
+        self.written_responses += responses;
+    }
+
+    /// Records that the exit is requested; only the first call has an effect. Responses are written
+    /// in the order in which they became pending, so later ones are not taken for those owed now.
+    pub(in crate::clients) fn request_exit(&mut self) {
+        let owed = self.written_responses + self.pending_responses;
+        self.owed_at_exit.get_or_insert(owed);
+    }
+
+    /// Whether the exit is requested.
+    pub(in crate::clients) const fn is_exit_requested(&self) -> bool {
+        self.owed_at_exit.is_some()
+    }
+
+    /// Whether a response is not completely written that was pending when the exit was first
+    /// requested.
+    pub(in crate::clients) fn owes_response_at_exit(&self) -> bool {
+        self.owed_at_exit
+            .is_some_and(|owed| self.written_responses < owed)
+    }
+
     pub(in crate::clients) const fn is_aborted(&self) -> bool {
         matches!(self.phase, ConnectionPhase::Aborted { .. })
     }
--- a/crates/net/src/clients/connection/write.rs
+++ b/crates/net/src/clients/connection/write.rs
@@ -36,7 +36,7 @@
         match outcome {
             WriteOutcome::NothingToDo => {}
             WriteOutcome::Written { responses } => {
-                self.update(|state| state.pending_responses -= responses);
+                self.update(|state| state.finish_responses(responses));
             }
             WriteOutcome::WouldBlock { responses } => {
                 self.on_responses_written(responses);
@@ -76,7 +76,7 @@
 
     fn on_responses_written(self: &Arc<Self>, responses: usize) {
         if responses > 0 {
-            self.update(|state| state.pending_responses -= responses);
+            self.update(|state| state.finish_responses(responses));
         }
     }
 
@@ -131,28 +131,31 @@
 
     /// Completes a streamed response and writes the responses that waited for it.
     pub(in crate::clients) fn finish_streamed_response(self: &Arc<Self>) {
-        self.update(|state| state.pending_responses -= 1);
+        self.update(|state| state.finish_responses(1));
         let outcome = self.write_queue.finish_streamed_response(&self.stream);
         self.on_written(outcome);
         self.write_queue.notify_progress();
     }
 
     /// Sends a message that clients pass over, if the connection is stalled: its client may have
-    /// closed behind bytes that are not read.
+    /// closed behind bytes that are not read. Not once the exit is requested: a probe would be taken
+    /// for one of the responses that the exit waits for.
     pub(in crate::clients) fn probe_if_stalled(self: &Arc<Self>) {
-        if !self.state().waits_for_written_response {
+        let mut state = self.state();
+        if !state.waits_for_written_response || state.is_exit_requested() {
             return;
         }
         let probe = self.handler.liveness_probe();
-        if probe.is_empty() || self.add_pending_response().is_err() {
+        if probe.is_empty() || self.add_pending_response_to(&mut state).is_err() {
             return;
         }
+        drop(state);
         match self
             .write_queue
             .write_between_responses(&self.stream, probe)
         {
             Some(outcome) => self.on_written(outcome),
-            None => self.update(|state| state.pending_responses -= 1),
+            None => self.update(|state| state.finish_responses(1)),
         }
     }
 
