Retry a request of the Cassandra front only once its attempt has ended

At a planned stop, open requests were failed while their attempts were out.

Cause: the core reports the end of a cancelled attempt in the turn of the cancel, because "after these outcomes the connection of the attempt is closed". On the Cassandra front the core's connection is a number: closing it made the job an orphan of a shared connection that stayed open.

Change: UpstreamTransport states when an attempt is no longer out, and each transport has to say which kind it is. On shared connections the core cancels through the transport, and the attempt stays in flight until the transport reports its end; its answer, if that comes first, is the request's. A connection all of whose jobs are cancelled is closed at once; beside a job that is not, a cancelled one waits for its answer, for the end of that job and 50 ms, or for the late heartbeat. Why it works: what the policy waits for is now the fact that its rule names, and the model test of the multiplexer, its invariants and the core's check it.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -2,7 +2,9 @@
 //!
 //! Inputs are the policy's orders to send or cancel, and the events of upstream connections. A
 //! request has at most one attempt in flight, which [`may_send`] checks, and each attempt in flight
-//! occupies one upstream connection. Times are whole microseconds of the process's monotonic clock.
+//! occupies one upstream connection. An attempt stays in flight until it is no longer out, as
+//! [`UpstreamTransport`] defines it; [`State::cancel_out_attempt`] is where that differs between
+//! transports. Times are whole microseconds of the process's monotonic clock.
 
 use std::sync::Arc;
 
@@ -12,7 +14,7 @@
 
 use crate::messages::{
     ConnectionId, Effect, Failure, FinalAnswer, LogEvent, Payload, RequestStep, UpstreamJob,
-    UpstreamReply,
+    UpstreamReply, UpstreamTransport,
 };
 use crate::permission::{Denial, SendCheck, SendPermit, may_send};
 use crate::reducer::State;
@@ -453,11 +455,65 @@
         let Some(connection) = self.attempts.get(&id).copied() else {
             return;
         };
-        let reply = UpstreamReply::without_details(Outcome::Cancelled);
-        let ended = self.on_reply(now, connection, reply, AfterReply::Close, effects);
+        let ended = if self.must_await_end(id.request) {
+            self.cancel_out_attempt(now, connection, effects)
+        } else {
+            let reply = UpstreamReply::without_details(Outcome::Cancelled);
+            self.on_reply(now, connection, reply, AfterReply::Close, effects)
+        };
         self.pending_events.extend(ended);
     }
 
+    /// Ends the attempt or health check on a connection because it has taken too long.
+    pub(crate) fn on_attempt_timeout(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        effects: &mut Vec<Effect>,
+    ) -> Option<PolicyEvent> {
+        if let Some(deadline) = self.retry_deadline(now, connection) {
+            self.set_timeout(connection, deadline);
+            return self.cancel_out_attempt(now, connection, effects);
+        }
+        // The connection is closed with the attempt, because a late answer on it would be taken for
+        // the answer to the next request.
+        let reply = UpstreamReply::without_details(Outcome::Timeout);
+        self.on_reply(now, connection, reply, AfterReply::Close, effects)
+    }
+
+    /// The deadline of the request whose attempt a connection carries, if a retry could overlap with
+    /// the attempt.
+    fn retry_deadline(&self, now: Time, connection: ConnectionId) -> Option<Time> {
+        let ConnectionUse::Attempt(attempt) = self.connections.get(&connection)?.usage else {
+            return None;
+        };
+        let request = self.requests.get(&attempt.id.request)?;
+        let can_retry = self.must_await_end(attempt.id.request) && now < request.deadline;
+        can_retry.then_some(request.deadline)
+    }
+
+    /// Whether an attempt of this request counts as ended only when the transport reports it: the
+    /// request may be retried, and closing the attempt's connection does not end the attempt.
+    fn must_await_end(&self, request: RequestId) -> bool {
+        self.config.transport == UpstreamTransport::Multiplexed
+            && self.requests.contains_key(&request)
+    }
+
+    /// Cancels the attempt on a shared connection. Returns its end if nothing of it was written;
+    /// otherwise the transport reports the end.
+    pub(crate) fn cancel_out_attempt(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        effects: &mut Vec<Effect>,
+    ) -> Option<PolicyEvent> {
+        let ended = self.cancel_unsent_attempt(now, connection, effects);
+        if ended.is_none() {
+            effects.push(Effect::CancelAttempt(connection));
+        }
+        ended
+    }
+
     /// Cancels the attempt on a connection if nothing of it has been written yet. An attempt that
     /// has begun continues.
     pub(crate) fn cancel_unsent_attempt(
--- a/crates/core/src/invariants.rs
+++ b/crates/core/src/invariants.rs
@@ -6,7 +6,7 @@
 use std::fmt;
 
 use valehatch_admission::InvariantViolation as QueueViolation;
-use valehatch_policy::{EndpointId, Time};
+use valehatch_policy::{EndpointId, RequestId, Time};
 
 use crate::messages::ConnectionId;
 use crate::reducer::State;
@@ -22,6 +22,8 @@
         /// Number of connections that carry an attempt.
         connections: usize,
     },
+    /// A request has more than one attempt in flight.
+    AttemptsOverlap(RequestId),
     /// The index of idle connections does not match the connections that are idle.
     IdleIndexDiffers,
     /// An invariant of the admission queue does not hold.
@@ -46,6 +48,9 @@
                 f,
                 "{attempts} attempts are in flight, on {connections} connections"
             ),
+            Self::AttemptsOverlap(request) => {
+                write!(f, "request {} has overlapping attempts", request.0)
+            }
             Self::IdleIndexDiffers => {
                 f.write_str("the index of idle connections differs from the idle connections")
             }
@@ -88,6 +93,7 @@
     /// The first violated invariant.
     pub fn check_invariants(&self) -> Result<(), InvariantViolation> {
         self.check_attempts()?;
+        self.check_overlaps()?;
         self.check_idle_index()?;
         self.check_queue()
     }
@@ -106,6 +112,17 @@
         Ok(())
     }
 
+    fn check_overlaps(&self) -> Result<(), InvariantViolation> {
+        let requests = self.attempts.keys().map(|attempt| attempt.request);
+        let mut previous = None;
+        for request in requests {
+            if previous.replace(request) == Some(request) {
+                return Err(InvariantViolation::AttemptsOverlap(request));
+            }
+        }
+        Ok(())
+    }
+
     fn check_idle_index(&self) -> Result<(), InvariantViolation> {
         let mut idle = BTreeSet::new();
         for (id, connection) in &self.connections {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,7 +48,7 @@
 pub use messages::{
     AfterAnswer, ClientId, ConnectionId, CoreConfig, Effect, Event, Failure, FinalAnswer,
     IncomingRequest, ListedEndpoint, LiveEndpoint, LiveView, LogEvent, Observability, OpenCounts,
-    Payload, RequestStep, UpstreamJob, UpstreamReply,
+    Payload, RequestStep, UpstreamJob, UpstreamReply, UpstreamTransport,
 };
 pub use reducer::State;
 pub use response_memory::{ResponseLimits, ResponseMemory};
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -234,6 +234,21 @@
     PublishView,
 }
 
+/// How the transport to the endpoints uses its connections.
+///
+/// An attempt is out from its first byte until its answer has arrived, or until its connection is
+/// closed or nothing more is sent on it. A request never has two attempts out, so the policy learns
+/// of the end of an attempt only when it is no longer out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamTransport {
+    /// A connection carries one attempt at a time. [`Effect::CloseUpstream`] closes the connection,
+    /// which ends the attempt.
+    Exclusive,
+    /// A connection to the endpoint is shared by many attempts. [`Effect::CloseUpstream`] leaves it
+    /// open and the attempt out; only [`Event::AttemptEnded`] says that it is no longer out.
+    Multiplexed,
+}
+
 /// Work to be sent on an upstream connection.
 #[derive(Clone, Debug)]
 pub enum UpstreamJob {
@@ -267,6 +282,9 @@
         /// Attempt or health check to send.
         job: UpstreamJob,
     },
+    /// Cancel the attempt on a connection of a [`UpstreamTransport::Multiplexed`] transport, and
+    /// report its end once it is no longer out.
+    CancelAttempt(ConnectionId),
     /// Close a connection to an endpoint.
     CloseUpstream(ConnectionId),
     /// Forward the response that has started on a connection while it is being received.
@@ -429,6 +447,8 @@
     pub metrics: Option<Arc<OutcomeMetrics>>,
     /// Settings of the policy.
     pub settings: Settings,
+    /// How the transport uses its connections.
+    pub transport: UpstreamTransport,
     /// Counters of denials and retries, shared with the admin interface.
     pub decisions: Arc<Decisions>,
     /// Whether each step of a request is logged.
--- a/crates/core/src/shutdown.rs
+++ b/crates/core/src/shutdown.rs
@@ -34,7 +34,7 @@
 use valehatch_request_log::{FailureReason, RejectionReason};
 
 use crate::attempts::AfterReply;
-use crate::messages::{Effect, UpstreamReply};
+use crate::messages::{Effect, UpstreamReply, UpstreamTransport};
 use crate::permission::{ProcessStage, may_close};
 use crate::reducer::State;
 use crate::requests::{EndReasons, PendingRequest};
@@ -336,11 +336,22 @@
             request.response_started_at.is_none().then_some(*id)
         };
         let open: Vec<RequestId> = self.requests.iter().filter_map(not_streaming).collect();
+        self.cancel_shared_attempts(&open, effects);
         for id in open {
             self.fail_open_request(now, id, policy_events, effects);
         }
     }
 
+    /// Cancels the attempts of requests that are about to be answered, all of them first: a shared
+    /// connection is closed once the last job on it is cancelled.
+    fn cancel_shared_attempts(&self, requests: &[RequestId], effects: &mut Vec<Effect>) {
+        if self.config.transport == UpstreamTransport::Exclusive {
+            return;
+        }
+        let connections = requests.iter().flat_map(|id| self.connections_of(*id));
+        effects.extend(connections.map(Effect::CancelAttempt));
+    }
+
     fn fail_open_request(
         &mut self,
         now: Time,
--- a/crates/core/src/timers.rs
+++ b/crates/core/src/timers.rs
@@ -7,10 +7,9 @@
 
 use std::sync::Arc;
 
-use valehatch_policy::{Outcome, PolicyEvent, RequestId, Span, Time};
+use valehatch_policy::{PolicyEvent, RequestId, Span, Time};
 
-use crate::attempts::AfterReply;
-use crate::messages::{ConnectionId, Effect, Observability, UpstreamReply};
+use crate::messages::{ConnectionId, Effect, Observability};
 use crate::reducer::State;
 
 /// Minimum publishing interval of the live view per listed endpoint. Building the view takes about
@@ -86,11 +85,7 @@
         match timer {
             Timer::Policy(token) => policy_events.push(PolicyEvent::Timer(token)),
             Timer::AttemptTimeout(connection) => {
-                // The connection is closed with the attempt, because a late answer on it would be
-                // taken for the answer to the next request.
-                let reply = UpstreamReply::without_details(Outcome::Timeout);
-                let ended = self.on_reply(now, connection, reply, AfterReply::Close, effects);
-                policy_events.extend(ended);
+                policy_events.extend(self.on_attempt_timeout(now, connection, effects));
             }
             Timer::RequestOverdue(id) => self.on_request_overdue(now, id, policy_events, effects),
             Timer::PublishView => self.on_publish_timer(now, effects),
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use valehatch_core::permission::Decisions;
-use valehatch_core::{CoreConfig, IncomingRequest, ListedEndpoint, Payload};
+use valehatch_core::{CoreConfig, IncomingRequest, ListedEndpoint, Payload, UpstreamTransport};
 use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_policy::{
     Consistency, DedupScope, DiscoveryMode, EndpointId, EndpointRecord, EndpointState, GroupId,
@@ -93,6 +93,7 @@
         observability: None,
         metrics: None,
         settings: settings(longest_deadline),
+        transport: UpstreamTransport::Exclusive,
         decisions: Arc::new(Decisions::default()),
         trace_requests: false,
         upstream_connection_limit: 8,
--- a/crates/cql/src/endpoint.rs
+++ b/crates/cql/src/endpoint.rs
@@ -170,6 +170,27 @@
         }
     }
 
+    /// Cancels a job. Its end is reported once it is no longer out.
+    pub(crate) fn cancel(self: &Arc<Self>, job: JobId, events: &mut Vec<Event>) {
+        let now = self.context.clock.now();
+        let mut state = lock(&self.state);
+        let mut actions = vec![];
+        let Some(exchange) = state.exchanges.get_mut(&job) else {
+            return;
+        };
+        if exchange.is_repreparing() {
+            // The request itself was answered, and will not be sent again.
+            state.exchanges.remove(&job);
+            state.multiplexer.abandon(now, job, &mut actions);
+            let reply = UpstreamReply::without_details(Outcome::NotSent);
+            events.push(attempt_ended(job, reply));
+        } else {
+            exchange.cancel();
+            state.multiplexer.cancel(now, job, &mut actions);
+        }
+        self.execute(&mut state, actions, events);
+    }
+
     /// Acquires the permit to send a job. Returns false if it was denied; the job then ends as not
     /// sent.
     fn try_acquire_permit(
@@ -187,7 +208,7 @@
             return true;
         }
         state.exchanges.remove(&job);
-        state.multiplexer.cancel(now, job, actions);
+        state.multiplexer.abandon(now, job, actions);
         let reply = UpstreamReply::without_details(Outcome::NotSent);
         events.push(attempt_ended(job, reply));
         false
@@ -279,10 +300,21 @@
 }
 
 fn fail_attempt(state: &mut EndpointState, job: JobId, failure: AttemptFailure) -> Event {
-    let exchange = state.exchanges.remove(&job);
+    let Some(exchange) = state.exchanges.remove(&job) else {
+        return attempt_failed(job, failure);
+    };
     // While a statement is being prepared again, the request itself is not in flight.
-    if exchange.is_some_and(|exchange| exchange.is_repreparing()) {
-        return attempt_failed(job, AttemptFailure::NotSent);
+    let failure = if exchange.is_repreparing() {
+        AttemptFailure::NotSent
+    } else {
+        failure
+    };
+    if !exchange.is_cancelled() {
+        return attempt_failed(job, failure);
     }
-    attempt_failed(job, failure)
+    let outcome = match failure {
+        AttemptFailure::NotSent => Outcome::NotSent,
+        AttemptFailure::ConnectionLost => Outcome::Cancelled,
+    };
+    attempt_ended(job, UpstreamReply::without_details(outcome))
 }
--- a/crates/cql/src/exchange.rs
+++ b/crates/cql/src/exchange.rs
@@ -53,6 +53,8 @@
     reprepare_count: u32,
     /// Whether the permit to send the job has been acquired.
     has_permit: bool,
+    /// Whether the core has cancelled the attempt.
+    cancelled: bool,
 }
 
 impl Exchange {
@@ -64,6 +66,7 @@
             repreparing: None,
             reprepare_count: 0,
             has_permit: false,
+            cancelled: false,
         }
     }
 
@@ -100,6 +103,16 @@
         self.repreparing.is_some()
     }
 
+    /// Records that the core has cancelled the attempt: its statement is not prepared again.
+    pub const fn cancel(&mut self) {
+        self.cancelled = true;
+    }
+
+    /// Whether the core has cancelled the attempt.
+    pub const fn is_cancelled(&self) -> bool {
+        self.cancelled
+    }
+
     /// Handles a response to the frame that was sent last.
     pub fn on_response(
         &mut self,
@@ -110,7 +123,7 @@
         if matches!(self.job, UpstreamJob::HealthCheck) {
             return on_health_check_response(&frame);
         }
-        let may_reprepare = now - self.submitted_at <= REPREPARE_WINDOW;
+        let may_reprepare = !self.cancelled && now - self.submitted_at <= REPREPARE_WINDOW;
         if let Some(id) = self.repreparing.take() {
             // A different id means that the endpoint prepared a different statement.
             let is_known = prepared_id(&frame).is_some_and(|prepared| prepared == id);
--- a/crates/cql/src/pool.rs
+++ b/crates/cql/src/pool.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
-use valehatch_core::{ConnectionId, Event, UpstreamJob};
+use valehatch_core::{ConnectionId, Event, UpstreamJob, UpstreamTransport};
 use valehatch_memory_budget::MemoryBudget;
 use valehatch_net::Clock;
 use valehatch_net::upstream::Upstream;
@@ -148,6 +148,10 @@
 }
 
 impl Upstream for EndpointPools {
+    fn transport(&self) -> UpstreamTransport {
+        UpstreamTransport::Multiplexed
+    }
+
     /// Only assigns the endpoint; the multiplexer decides when to open a connection.
     fn connect(&mut self, connection: ConnectionId, address: &Arc<str>) {
         if let Some(endpoint) = self.endpoint(address) {
@@ -170,6 +174,17 @@
         self.try_send_events(events);
     }
 
+    fn cancel(&mut self, connection: ConnectionId) {
+        let Some(endpoint) = self.connections.get(&connection).cloned() else {
+            return;
+        };
+        let mut events = vec![];
+        endpoint.cancel(JobId(connection.0), &mut events);
+        self.flush_later(&endpoint);
+        self.try_send_events(events);
+    }
+
+    /// Abandons the job that the core's connection carries; the shared connection stays open.
     fn close(&mut self, connection: ConnectionId) {
         let Some(endpoint) = self.connections.remove(&connection) else {
             return;
@@ -179,7 +194,7 @@
         let mut events = vec![];
         endpoint.update(&mut events, |state, actions| {
             if state.exchanges.remove(&id).is_some() {
-                state.multiplexer.cancel(now, id, actions);
+                state.multiplexer.abandon(now, id, actions);
             }
         });
         self.flush_later(&endpoint);
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -138,6 +138,7 @@
         let has_observer = parts.observer.is_some() || parts.metrics.is_some();
         let config = CoreConfig {
             settings: parts.site.settings,
+            transport: parts.upstream.transport(),
             decisions: parts.decisions,
             trace_requests: tracing::enabled!(tracing::Level::DEBUG),
             admission: parts.admission,
@@ -241,6 +242,7 @@
                 address,
             } => self.upstream.connect(connection, &address),
             Effect::Submit { connection, job } => self.upstream.submit(connection, job),
+            Effect::CancelAttempt(connection) => self.upstream.cancel(connection),
             Effect::CloseUpstream(connection) => self.upstream.close(connection),
             Effect::ForwardBody {
                 connection,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod manager;
 pub(crate) mod memory;
 pub(crate) mod monitored;
+pub(crate) mod recording_node;
 pub(crate) mod scripted_discovery;
 pub(crate) mod slow_clients;
 
--- a/crates/net/src/upstream.rs
+++ b/crates/net/src/upstream.rs
@@ -14,7 +14,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 
-use valehatch_core::{ConnectionId, UpstreamJob, UpstreamReply};
+use valehatch_core::{ConnectionId, UpstreamJob, UpstreamReply, UpstreamTransport};
 use valehatch_policy::Outcome;
 
 use crate::clients::ResponseBody;
@@ -53,6 +53,8 @@
 
 /// All upstream connections of a front, as used by the core's thread. No method blocks.
 pub trait Upstream: Send {
+    /// How connections are used, which decides when an attempt is no longer out.
+    fn transport(&self) -> UpstreamTransport;
     /// Announces that the core is about to use a connection to this address. The connection may be
     /// opened as late as the first job.
     fn connect(&mut self, connection: ConnectionId, address: &Arc<str>);
@@ -61,7 +63,11 @@
     /// Passes on the streamed response that a connection has requested; `None` if the client has
     /// disconnected.
     fn forward_body(&mut self, _connection: ConnectionId, _body: Option<ResponseBody>) {}
-    /// Closes a connection, even if it carries a job.
+    /// Cancels the attempt on a connection of a [`UpstreamTransport::Multiplexed`] transport. The end
+    /// is reported as [`Event::AttemptEnded`](valehatch_core::Event::AttemptEnded), but not before
+    /// the attempt is no longer out.
+    fn cancel(&mut self, _connection: ConnectionId) {}
+    /// Closes a connection, even if it carries a job. Nothing is reported for the job.
     fn close(&mut self, connection: ConnectionId);
     /// Sends what was submitted. Called at the end of each turn of the core's event loop.
     fn flush(&mut self) {}
--- a/crates/net/src/upstream/pool.rs
+++ b/crates/net/src/upstream/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crossbeam_channel::Sender;
-use valehatch_core::{ConnectionId, Event, UpstreamJob, UpstreamReply};
+use valehatch_core::{ConnectionId, Event, UpstreamJob, UpstreamReply, UpstreamTransport};
 use valehatch_policy::Outcome;
 use valehatch_request_log::OutcomeMetrics;
 
@@ -67,6 +67,10 @@
 }
 
 impl Upstream for EndpointPools {
+    fn transport(&self) -> UpstreamTransport {
+        UpstreamTransport::Exclusive
+    }
+
     /// Opens no connection yet; the first job does.
     fn connect(&mut self, connection: ConnectionId, address: &Arc<str>) {
         let context = Arc::clone(&self.context);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -16,8 +16,8 @@
 
 /// Retries stop this many ticks before the end of a deduplication window.
 const WINDOW_MARGIN_TICKS: i64 = 2;
-/// Ticks between the end of an attempt that was given up and the retry. The endpoint must see the
-/// first connection close before the retry arrives; otherwise both attempts run.
+/// Ticks between the end of an attempt that was given up and the retry. The attempt is no longer out
+/// then; the endpoint must also see its connection close before the retry arrives, or both run.
 const RETRY_DELAY_TICKS: i64 = 2;
 /// A reported position may exceed the position that has certainly been applied by up to this much.
 const POSITION_RESOLUTION: Span = Span::from_millis(1);
@@ -201,7 +201,7 @@
         if !end.outcome.never_ran() {
             request.may_have_run_since = request.may_have_run_since.or(sent_at);
         }
-        // After these outcomes the connection of the attempt is closed.
+        // After these outcomes the connection of the attempt is closed, or an answer has arrived.
         let closes_connection = matches!(
             end.outcome,
             Outcome::Timeout | Outcome::Cancelled | Outcome::Error
--- a/crates/stream-multiplexing/src/actions.rs
+++ b/crates/stream-multiplexing/src/actions.rs
@@ -59,7 +59,7 @@
 pub enum FrameOwner {
     /// The frame answers this job.
     Job(JobId),
-    /// The frame answers a cancelled job or a heartbeat.
+    /// The frame answers an abandoned job or a heartbeat.
     Abandoned,
     /// The frame answers nothing that was sent: the endpoint is out of sync, and the connection
     /// must be closed ([`connection_lost`](crate::StreamMultiplexer::connection_lost)).
--- a/crates/stream-multiplexing/src/connection.rs
+++ b/crates/stream-multiplexing/src/connection.rs
@@ -21,12 +21,27 @@
         job: JobId,
         sent: Time,
         write: WriteState,
+        /// Set if the submitter waits for the job to end, with or without an answer.
+        cancelled: bool,
     },
-    /// A cancelled job whose answer has not arrived.
+    /// An abandoned job whose answer has not arrived.
     Orphan,
     Heartbeat,
 }
 
+impl StreamUse {
+    /// Whether this is a job that is not cancelled.
+    pub(crate) const fn is_wanted_job(&self) -> bool {
+        matches!(
+            self,
+            Self::Job {
+                cancelled: false,
+                ..
+            }
+        )
+    }
+}
+
 /// State of a connection.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -35,6 +50,11 @@
     pub(crate) streams: BTreeMap<i16, StreamUse>,
     /// Number of streams that are orphans.
     pub(crate) orphans: usize,
+    /// Number of jobs that are cancelled.
+    pub(crate) cancelled: usize,
+    /// When the connection is closed if all jobs on it are cancelled then; set while the endpoint
+    /// may be about to answer them.
+    pub(crate) close_at: Option<Time>,
     next_stream: u16,
     /// When data was last received.
     pub(crate) last_received: Time,
@@ -53,6 +73,8 @@
             ready: false,
             streams: BTreeMap::new(),
             orphans: 0,
+            cancelled: 0,
+            close_at: None,
             next_stream: 0,
             last_received: now,
             last_used: now,
--- a/crates/stream-multiplexing/src/invariants.rs
+++ b/crates/stream-multiplexing/src/invariants.rs
@@ -58,6 +58,27 @@
                 "{id:?}: {orphans} orphans, {counted} counted"
             )));
         }
+        let is_cancelled = |used: &&StreamUse| {
+            matches!(
+                used,
+                StreamUse::Job {
+                    cancelled: true,
+                    ..
+                }
+            )
+        };
+        let cancelled = connection.streams.values().filter(is_cancelled).count();
+        if cancelled != connection.cancelled {
+            let counted = connection.cancelled;
+            return Err(InvariantViolation(format!(
+                "{id:?}: {cancelled} cancelled jobs, {counted} counted"
+            )));
+        }
+        if cancelled > 0 && connection.close_at.is_none() && !self.carries_wanted_job(id) {
+            return Err(InvariantViolation(format!(
+                "{id:?} is open for cancelled jobs alone"
+            )));
+        }
         // Heartbeats and resubmitted jobs are not subject to `max_jobs`.
         let used = connection.streams.len();
         if used > usize::from(self.settings.stream_ids) {
--- a/crates/stream-multiplexing/src/lib.rs
+++ b/crates/stream-multiplexing/src/lib.rs
@@ -8,11 +8,13 @@
 //! time. Output: [`MultiplexerAction`]s, which the caller carries out.
 //!
 //! - **Stream ids** are assigned round-robin over the whole range of a connection, so that an id is
-//!   reused as late as possible. If a job is cancelled after its bytes have begun to be written,
+//!   reused as late as possible. If a job is abandoned after its bytes have begun to be written,
 //!   its id becomes an orphan, which is not reused until the answer has arrived.
+//! - **A cancelled job** ends, and is reported to have ended, once it is no longer out: its answer
+//!   has arrived, or its connection is closed. The connection is closed once no other job is on it.
 //! - **Too many orphans** close the connection: its endpoint responds, but does not answer these
 //!   jobs.
-//! - **A connection is suspect** if a job on it was cancelled and nothing has been received since
+//! - **A connection is suspect** if a job on it was cancelled or abandoned and nothing has been received since
 //!   that job was sent. It gets a heartbeat at once, and no new jobs until something is received;
 //!   if nothing is, the connection is closed.
 //! - **A lost connection** fails each job on it: if none of the job's bytes had been written, the
@@ -27,6 +29,7 @@
 //! | --- | --- |
 //! | [`settings`] | limits and their validation |
 //! | [`actions`] | ids, actions and outcomes |
+//! | `cancellation` | ends of jobs before their answers |
 //! | `connection` | stream ids and heartbeat of one connection |
 //! | [`invariants`] | invariants that hold after every step |
 //! | [`multiplexer`] | the state machine over all connections |
@@ -34,6 +37,7 @@
 #![forbid(unsafe_code)]
 
 pub mod actions;
+mod cancellation;
 mod connection;
 pub mod invariants;
 pub mod multiplexer;
--- a/crates/stream-multiplexing/src/multiplexer.rs
+++ b/crates/stream-multiplexing/src/multiplexer.rs
@@ -30,7 +30,7 @@
 /// A job that waits for a connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct WaitingJob {
-    job: JobId,
+    pub(crate) job: JobId,
     until: Time,
 }
 
@@ -141,6 +141,7 @@
             job,
             sent: now,
             write: WriteState::Queued,
+            cancelled: false,
         };
         let Some(stream) = self.take_stream(now, connection, stream_use) else {
             self.jobs.remove(&job);
@@ -240,7 +241,8 @@
         };
         receiving.last_used = now;
         match receiving.streams.remove(&stream) {
-            Some(StreamUse::Job { job, .. }) => {
+            Some(StreamUse::Job { job, cancelled, .. }) => {
+                receiving.cancelled -= usize::from(cancelled);
                 self.jobs.insert(job, JobState::Answered { connection });
                 FrameOwner::Job(job)
             }
@@ -255,7 +257,9 @@
 
     /// Ends an answered job.
     pub fn finish(&mut self, now: Time, job: JobId, out: &mut Vec<MultiplexerAction>) {
-        self.jobs.remove(&job);
+        if let Some(JobState::Answered { connection }) = self.jobs.remove(&job) {
+            self.close_soon_if_only_cancelled(now, connection);
+        }
         if !self.waiting.is_empty() {
             self.assign_waiting(now, out);
         }
@@ -275,49 +279,8 @@
         self.jobs.contains_key(&job)
     }
 
-    /// Cancels a job: no further action or outcome is reported for it.
-    pub fn cancel(&mut self, now: Time, job: JobId, out: &mut Vec<MultiplexerAction>) {
-        match self.jobs.remove(&job) {
-            None | Some(JobState::Answered { .. }) => {}
-            Some(JobState::Waiting) => self.waiting.retain(|waiting| waiting.job != job),
-            Some(JobState::InFlight { connection, stream }) => {
-                self.cancel_stream(now, connection, stream, out);
-            }
-        }
-    }
-
-    fn cancel_stream(
-        &mut self,
-        now: Time,
-        connection: MultiplexedConnectionId,
-        stream: i16,
-        out: &mut Vec<MultiplexerAction>,
-    ) {
-        let Some(carrier) = self.connections.get_mut(&connection) else {
-            return;
-        };
-        let Some(StreamUse::Job { sent, write, .. }) = carrier.streams.get(&stream).copied() else {
-            return;
-        };
-        if write == WriteState::Queued {
-            carrier.streams.remove(&stream);
-            out.push(MultiplexerAction::Unqueue { connection, stream });
-            return;
-        }
-        carrier.streams.insert(stream, StreamUse::Orphan);
-        carrier.orphans += 1;
-        if carrier.orphans > self.settings.max_orphans {
-            self.close(now, connection, out);
-            return;
-        }
-        if carrier.last_received <= sent && !carrier.suspect {
-            carrier.suspect = true;
-            self.send_heartbeat(now, connection, out);
-        }
-    }
-
     /// Sends a heartbeat, unless one is in flight.
-    fn send_heartbeat(
+    pub(crate) fn send_heartbeat(
         &mut self,
         now: Time,
         connection: MultiplexedConnectionId,
@@ -336,7 +299,7 @@
         target.heartbeat_sent = Some(now);
     }
 
-    fn close(
+    pub(crate) fn close(
         &mut self,
         now: Time,
         connection: MultiplexedConnectionId,
@@ -416,6 +379,7 @@
             return;
         }
         self.fail_unwritten(now, connection, out);
+        self.close_after_grace(now, connection, out);
         let Some(ticked) = self.connections.get(&connection) else {
             return;
         };
@@ -463,6 +427,6 @@
 }
 
 /// The outcome of a job that was not executed.
-const fn not_sent(job: JobId) -> MultiplexerAction {
+pub(crate) const fn not_sent(job: JobId) -> MultiplexerAction {
     MultiplexerAction::AttemptFailed(job, AttemptFailure::NotSent)
 }
--- a/crates/stream-multiplexing/src/settings.rs
+++ b/crates/stream-multiplexing/src/settings.rs
@@ -30,6 +30,9 @@
     pub heartbeat_after: Span,
     /// A connection that receives nothing for this long after a heartbeat is closed; above 0.
     pub heartbeat_timeout: Span,
+    /// If an endpoint has just answered the last other job of a connection, its cancelled jobs may
+    /// still be answered for this long before it is closed; above 0.
+    pub cancelled_grace: Span,
     /// A connection that carries nothing for this long is closed; above 0.
     pub idle_timeout: Span,
 }
@@ -74,6 +77,7 @@
             max_write_delay,
             heartbeat_after: Span::from_millis(1_000),
             heartbeat_timeout: Span::from_millis(500),
+            cancelled_grace: Span::from_millis(50),
             idle_timeout,
         }
     }
@@ -93,6 +97,7 @@
             self.max_write_delay,
             self.heartbeat_after,
             self.heartbeat_timeout,
+            self.cancelled_grace,
             self.idle_timeout,
         ];
         if times.iter().any(|time| time.0 <= 0) {
--- a/crates/stream-multiplexing/tests/stream_multiplexing.rs
+++ b/crates/stream-multiplexing/tests/stream_multiplexing.rs
@@ -54,9 +54,42 @@
     fn submit(&mut self, at: i64, job: u64) {
         self.streams.submit(ms(at), JobId(job), &mut self.out);
     }
+    fn abandon(&mut self, at: i64, job: u64) {
+        self.streams.abandon(ms(at), JobId(job), &mut self.out);
+    }
     fn cancel(&mut self, at: i64, job: u64) {
         self.streams.cancel(ms(at), JobId(job), &mut self.out);
     }
+    /// Submits further jobs on the open connection, and begins to write them and the first one.
+    fn write(&mut self, at: i64, jobs: std::ops::Range<u64>) {
+        let connection = MultiplexedConnectionId(1);
+        for job in jobs {
+            self.submit(at, job);
+        }
+        for action in std::mem::take(&mut self.out) {
+            if let MultiplexerAction::Send { stream, .. } = action {
+                self.streams.write_started(connection, stream);
+            }
+        }
+        self.streams.write_started(connection, 0);
+    }
+    /// Receives something that ends no job: the endpoint is alive.
+    fn hear(&mut self, at: i64) {
+        let connection = MultiplexedConnectionId(1);
+        self.streams
+            .bytes_received(ms(at), connection, &mut self.out);
+    }
+    /// Answers the job on a stream of the open connection.
+    fn answer(&mut self, at: i64, stream: i16) -> FrameOwner {
+        let connection = MultiplexedConnectionId(1);
+        self.streams
+            .bytes_received(ms(at), connection, &mut self.out);
+        let owner = self.streams.frame_received(ms(at), connection, stream);
+        if let FrameOwner::Job(job) = owner {
+            self.streams.finish(ms(at), job, &mut self.out);
+        }
+        owner
+    }
     fn tick(&mut self, at: i64) -> Vec<MultiplexerAction> {
         self.streams.tick(ms(at), &mut self.out);
         self.take_actions()
@@ -126,8 +159,8 @@
     fixture
         .streams
         .bytes_received(ms(5), MultiplexedConnectionId(1), &mut fixture.out);
-    fixture.cancel(6, 1);
-    fixture.cancel(6, 2);
+    fixture.abandon(6, 1);
+    fixture.abandon(6, 2);
     assert_eq!(fixture.take_actions(), []);
     assert_eq!(
         fixture
@@ -155,9 +188,9 @@
     fixture
         .streams
         .bytes_received(ms(9), MultiplexedConnectionId(1), &mut fixture.out);
-    fixture.cancel(10, 5);
+    fixture.abandon(10, 5);
     assert_eq!(fixture.take_actions(), [], "two orphans are allowed");
-    fixture.cancel(10, 3);
+    fixture.abandon(10, 3);
     assert_eq!(
         fixture.take_actions(),
         [
@@ -193,11 +226,128 @@
     );
 }
 
+/// Guards against a cancelled job that is reported to have ended while its endpoint may still execute
+/// it: the request would be sent to another endpoint meanwhile.
+#[test]
+fn cancelled_job_ends_with_its_connection_if_no_other_is_out() {
+    let mut fixture = Fixture::connected();
+    fixture.write(1, 2..2);
+    fixture.cancel(100, 1);
+    assert_eq!(
+        fixture.take_actions(),
+        [
+            MultiplexerAction::Close(MultiplexedConnectionId(1)),
+            failed_attempt(1, AttemptFailure::ConnectionLost),
+        ]
+    );
+}
+
+#[test]
+fn cancelled_jobs_wait_for_the_last_other_job() {
+    let mut fixture = Fixture::connected();
+    fixture.write(1, 2..4);
+    fixture.take_actions();
+    fixture.hear(50);
+    fixture.cancel(60, 1);
+    fixture.cancel(60, 1);
+    fixture.cancel(60, 2);
+    assert_eq!(
+        fixture.take_actions(),
+        [],
+        "closing would cut off the third"
+    );
+    assert_eq!(fixture.answer(70, 2), FrameOwner::Job(JobId(3)));
+    assert_eq!(fixture.tick(119), [], "they may be answered as well");
+    assert_eq!(
+        fixture.tick(160),
+        [
+            MultiplexerAction::Close(MultiplexedConnectionId(1)),
+            failed_attempt(1, AttemptFailure::ConnectionLost),
+            failed_attempt(2, AttemptFailure::ConnectionLost),
+        ]
+    );
+}
+
+#[test]
+fn cancelled_job_ends_with_its_answer_if_that_arrives() {
+    let mut fixture = Fixture::connected();
+    fixture.write(1, 2..3);
+    fixture.take_actions();
+    fixture.hear(50);
+    fixture.cancel(60, 1);
+    assert_eq!(fixture.answer(70, 0), FrameOwner::Job(JobId(1)));
+    assert_eq!(fixture.take_actions(), []);
+    assert_eq!(fixture.answer(80, 1), FrameOwner::Job(JobId(2)));
+    assert_eq!(fixture.take_actions(), [], "the connection stays open");
+}
+
+#[test]
+fn cancelled_job_on_silent_connection_ends_with_late_heartbeat() {
+    let mut fixture = Fixture::connected();
+    fixture.write(1, 2..3);
+    fixture.take_actions();
+    fixture.cancel(100, 1);
+    let heartbeat = fixture.take_actions();
+    assert!(matches!(
+        heartbeat[..],
+        [MultiplexerAction::Heartbeat { .. }]
+    ));
+    assert_eq!(fixture.tick(599), []);
+    assert_eq!(
+        fixture.tick(640),
+        [
+            MultiplexerAction::Close(MultiplexedConnectionId(1)),
+            failed_attempt(1, AttemptFailure::ConnectionLost),
+            failed_attempt(2, AttemptFailure::ConnectionLost),
+        ]
+    );
+}
+
+#[test]
+fn cancelled_job_whose_neighbour_is_abandoned_ends_with_its_connection() {
+    let mut fixture = Fixture::connected();
+    fixture.write(1, 2..3);
+    fixture.take_actions();
+    fixture.hear(50);
+    fixture.cancel(60, 1);
+    assert_eq!(fixture.take_actions(), []);
+    fixture.abandon(70, 2);
+    assert_eq!(
+        fixture.take_actions(),
+        [
+            MultiplexerAction::Close(MultiplexedConnectionId(1)),
+            failed_attempt(1, AttemptFailure::ConnectionLost),
+        ]
+    );
+}
+
+#[test]
+fn cancelled_job_of_which_nothing_is_written_ends_at_once() {
+    let mut fixture = Fixture::connected();
+    fixture.cancel(2, 1);
+    let unqueue = MultiplexerAction::Unqueue {
+        connection: MultiplexedConnectionId(1),
+        stream: 0,
+    };
+    assert_eq!(
+        fixture.take_actions(),
+        [unqueue, failed_attempt(1, AttemptFailure::NotSent)]
+    );
+    let mut fixture = Fixture::new(settings());
+    fixture.submit(0, 1);
+    fixture.take_actions();
+    fixture.cancel(1, 1);
+    assert_eq!(
+        fixture.take_actions(),
+        [failed_attempt(1, AttemptFailure::NotSent)]
+    );
+}
+
 #[test]
 fn suspect_connection_gets_heartbeat_and_no_jobs() {
     let mut fixture = Fixture::connected();
     fixture.streams.write_started(MultiplexedConnectionId(1), 0);
-    fixture.cancel(100, 1);
+    fixture.abandon(100, 1);
     assert_eq!(
         fixture.take_actions(),
         [MultiplexerAction::Heartbeat {
@@ -224,7 +374,7 @@
     // A connection that receives something remains in use.
     let mut fixture = Fixture::connected();
     fixture.streams.write_started(MultiplexedConnectionId(1), 0);
-    fixture.cancel(100, 1);
+    fixture.abandon(100, 1);
     fixture.submit(100, 2);
     fixture.take_actions();
     fixture
@@ -404,6 +554,7 @@
     StartWrite,
     Answer,
     Resubmit,
+    Abandon(usize),
     Cancel(usize),
     LoseConnection,
     Wait(i64),
@@ -416,6 +567,7 @@
         5 => Just(Step::StartWrite),
         5 => Just(Step::Answer),
         1 => Just(Step::Resubmit),
+        2 => any::<usize>().prop_map(Step::Abandon),
         2 => any::<usize>().prop_map(Step::Cancel),
         1 => Just(Step::LoseConnection),
         3 => (1..300_i64).prop_map(Step::Wait),
@@ -425,7 +577,8 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(400))]
 
-    /// Each job ends once, is answered, or was cancelled; no stream id carries two jobs. A job of
+    /// Each job ends once, is answered, or was abandoned; no stream id carries two jobs. A job does
+    /// not end while it is out, unanswered on an open connection, also if it was cancelled. A job of
     /// which no byte was written does not end as `ConnectionLost`, and a job of which writing began
     /// does not end as `NotSent`. The limits hold after every step.
     #[test]
@@ -469,8 +622,11 @@
                         FrameOwner::Unexpected => prop_assert!(false, "{:?} {} was requested", connection, id),
                     }
                 },
-                Step::Cancel(n) => if let Some(job) = open.iter().nth(n % open.len().max(1)).copied() {
+                Step::Abandon(n) => if let Some(job) = open.iter().nth(n % open.len().max(1)).copied() {
                     open.remove(&job);
+                    streams.abandon(ms(now), job, &mut out);
+                },
+                Step::Cancel(n) => if let Some(job) = open.iter().nth(n % open.len().max(1)).copied() {
                     streams.cancel(ms(now), job, &mut out);
                 },
                 Step::LoseConnection => if let Some(connection) = sent.keys().chain(queued.keys()).map(|(l, _)| *l).next() {
@@ -501,6 +657,7 @@
                     }
                     MultiplexerAction::AttemptFailed(job, failure) => {
                         prop_assert!(open.remove(&job), "{:?} ends twice", job);
+                        prop_assert!(!sent.values().any(|out| *out == Some(job)), "{:?} ends while it is out", job);
                         prop_assert_eq!(failure == AttemptFailure::ConnectionLost, started.contains(&job), "{:?}", job);
                     }
                 }
--- a/crates/testbed/src/world.rs
+++ b/crates/testbed/src/world.rs
@@ -12,7 +12,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use valehatch_core::{
     ClientId, ConnectionId, CoreConfig, Effect, Event, FinalAnswer, IncomingRequest,
-    ListedEndpoint, Payload, State, UpstreamJob, UpstreamReply,
+    ListedEndpoint, Payload, State, UpstreamJob, UpstreamReply, UpstreamTransport,
 };
 use valehatch_memory_budget::{MemoryBudget, MemoryUse};
 use valehatch_policy::*;
@@ -301,6 +301,7 @@
                 admission: admission.clone(),
                 observability: None,
                 settings: settings.clone(),
+                transport: UpstreamTransport::Exclusive,
                 decisions: Arc::default(),
                 trace_requests: false,
                 upstream_connection_limit: 2_000,
@@ -661,6 +662,9 @@
             | Effect::StopListening
             | Effect::Log(_)
             | Effect::Exit => {}
+            Effect::CancelAttempt(_) => {
+                return Err("unexpected CancelAttempt: connections are exclusive".into());
+            }
             Effect::ForwardBody { .. } => {
                 return Err("unexpected ForwardBody: all answers of the emulator are short".into());
             }
