Remove repetition around cancelled jobs and test fixtures

What a cancel, an abandon and a take-back do to a connection's stream ids is in connection.rs now, so cancellation.rs only decides. The tests of client connections share the fixture of a front (it stood three times), and the tests of the Cassandra front the text of its configuration.

--- a/crates/gateway/tests/cassandra_overlap.rs
+++ b/crates/gateway/tests/cassandra_overlap.rs
@@ -13,13 +13,14 @@
 use std::time::{Duration, Instant};
 
 use rstest::rstest;
-use support::cql::{Client, ERROR, Frame, RESULT, query};
+use support::cql::{Client, Contract, ERROR, Frame, Member, RESULT, front_config, query};
 use support::recording_node::*;
 use support::{GatewayProcess, free_address, temp_folder, wait_until};
 
 const NODES: usize = 6;
 /// Time within which the answer to a request has to come.
-const DEADLINE: Duration = Duration::from_millis(3_000);
+const DEADLINE: Duration = Duration::from_millis(DEADLINE_MS);
+const DEADLINE_MS: u64 = 3_000;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -82,49 +83,25 @@
     }
 }
 
-fn config(listen: SocketAddr, nodes: &[SocketAddr], first_state: &str) -> String {
-    let mut text =
-        format!("[[front]]\nname = \"stays\"\nprotocol = \"cassandra\"\nlisten = \"{listen}\"\n");
-    for (n, address) in nodes.iter().enumerate() {
-        let state = if n == 0 { first_state } else { "active" };
-        text += &format!(
-            "[[front.member]]\nname = \"m{n}\"\naddress = \"{address}\"\nprimary = {}\nstate = \"{state}\"\n",
-            n == 0
-        );
-    }
-    let deadline = DEADLINE.as_millis();
-    text + &format!(
-        r#"
-[[front.contract]]
-name = "keyed"
-statements = ["INSERT INTO keyed."]
-need = "write"
-effect = "keyed"
-window-ms = 5000
-aim-ms = 600
-deadline-ms = {deadline}
-worth = 4
-late-worth = 0.3
-[[front.contract]]
-name = "unsafe"
-statements = ["INSERT INTO unsafe."]
-need = "write"
-effect = "unsafe"
-aim-ms = 600
-deadline-ms = {deadline}
-worth = 4
-late-worth = 0.3
-[[front.contract]]
-name = "read"
-statements = ["SELECT"]
-need = "any"
-effect = "safe"
-aim-ms = 600
-deadline-ms = {deadline}
-worth = 1
-late-worth = 0.3
-"#
-    )
+fn config(listen: SocketAddr, nodes: &[SocketAddr], first_state: &'static str) -> String {
+    let member = |(n, address): (usize, &SocketAddr)| Member {
+        address: *address,
+        state: if n == 0 { first_state } else { "active" },
+    };
+    let members: Vec<Member> = nodes.iter().enumerate().map(member).collect();
+    let contract = |name, statements, need, effect| Contract {
+        name,
+        statements,
+        need,
+        effect,
+        deadline_ms: DEADLINE_MS,
+    };
+    let contracts = [
+        contract("keyed", "INSERT INTO keyed.", "write", "keyed"),
+        contract("unsafe", "INSERT INTO unsafe.", "write", "unsafe"),
+        contract("read", "SELECT", "any", "safe"),
+    ];
+    front_config(listen, &members, &contracts)
 }
 
 fn insert(keyspace: &str, id: usize) -> String {
--- a/crates/gateway/tests/stop_while_streaming.rs
+++ b/crates/gateway/tests/stop_while_streaming.rs
@@ -265,28 +265,19 @@
 fn cassandra_gateway(node: SocketAddr) -> (SocketAddr, GatewayProcess) {
     let listen = free_address();
     let path = temp_folder().join("gateway.toml");
-    let text = format!(
-        r#"
-[gateway]
-memory-mb = 512
-[[front]]
-name = "stays"
-protocol = "cassandra"
-listen = "{listen}"
-[[front.member]]
-name = "m0"
-address = "{node}"
-primary = true
-[[front.contract]]
-name = "read"
-statements = ["SELECT"]
-need = "any"
-effect = "safe"
-aim-ms = 2000
-deadline-ms = 3000
-worth = 1
-"#
-    );
+    let member = cql::Member {
+        address: node,
+        state: "active",
+    };
+    let contract = cql::Contract {
+        name: "read",
+        statements: "SELECT",
+        need: "any",
+        effect: "safe",
+        deadline_ms: 3_000,
+    };
+    let front = cql::front_config(listen, &[member], &[contract]);
+    let text = format!("[gateway]\nmemory-mb = 512\n{front}");
     std::fs::write(&path, text).unwrap();
     let program = GatewayProcess::start(&["serve", path.to_str().unwrap()], None, listen);
     (listen, program)
--- a/crates/gateway/tests/support/cql.rs
+++ b/crates/gateway/tests/support/cql.rs
@@ -269,3 +269,50 @@
         answer
     }
 }
+
+/// A node in a front's configuration.
+pub(crate) struct Member {
+    pub address: SocketAddr,
+    pub state: &'static str,
+}
+
+/// A request class in a front's configuration, with a latency objective of 600 ms.
+pub(crate) struct Contract {
+    pub name: &'static str,
+    pub statements: &'static str,
+    pub need: &'static str,
+    pub effect: &'static str,
+    pub deadline_ms: u64,
+}
+
+/// The configuration of a front whose first member is the primary.
+pub(crate) fn front_config(
+    listen: SocketAddr,
+    members: &[Member],
+    contracts: &[Contract],
+) -> String {
+    let mut text =
+        format!("[[front]]\nname = \"stays\"\nprotocol = \"cassandra\"\nlisten = \"{listen}\"\n");
+    for (n, Member { address, state }) in members.iter().enumerate() {
+        let primary = n == 0;
+        text += &format!(
+            "[[front.member]]\nname = \"m{n}\"\naddress = \"{address}\"\nprimary = {primary}\nstate = \"{state}\"\n"
+        );
+    }
+    for contract in contracts {
+        let Contract {
+            name,
+            statements,
+            need,
+            effect,
+            deadline_ms,
+        } = contract;
+        text += &format!(
+            "[[front.contract]]\nname = \"{name}\"\nstatements = [\"{statements}\"]\nneed = \"{need}\"\neffect = \"{effect}\"\naim-ms = 600\ndeadline-ms = {deadline_ms}\nworth = 4\nlate-worth = 0.3\n"
+        );
+        if *effect == "keyed" {
+            text += "window-ms = 5000\n";
+        }
+    }
+    text
+}
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -6,7 +6,7 @@
 
 use crossbeam_channel::Receiver;
 use valehatch_connection_limits::{ANSWER_SETTLE_TIME, ConnectionActivity, ConnectionLimits};
-use valehatch_core::FinalAnswer;
+use valehatch_core::{Event, FinalAnswer};
 
 use super::super::message_reader::{NextMessage, RequestReader};
 use super::super::session::Session;
@@ -113,29 +113,36 @@
     (connection, reader, client, woken)
 }
 
-/// Marks the connection as just used, however long this thread is not scheduled.
-fn mark_used_now(connection: &ClientConnection) {
-    connection.state().last_used = connection.clock.now() + Span::from_millis(60_000);
-}
-
-#[test]
-fn recently_answered_connection_is_not_closed_until_settled() {
-    let (events, _inbox) = crossbeam_channel::bounded(8);
+/// A front that has this connection, and the events that it sends to the core.
+fn front_of(connection: &Arc<ClientConnection>) -> (Arc<Clients>, Receiver<Event>) {
+    let (events, inbox) = crossbeam_channel::bounded(8);
     let limits = ClientLimits {
         memory: memory_budget(),
         response_bytes: 1024,
         reports_rejections: false,
     };
-    let (connection, _, mut client) = connection();
+    let limiter = Arc::clone(&connection.limiter);
     let clients = Clients::new(
         Arc::new(EmptyProtocol),
         events,
         connection.clock,
-        Arc::clone(&connection.limiter),
+        limiter,
         limits,
     )
     .unwrap();
-    lock(&clients.registry.connections).insert(ClientId(1), Arc::clone(&connection));
+    lock(&clients.registry.connections).insert(connection.id, Arc::clone(connection));
+    (clients, inbox)
+}
+
+/// Marks the connection as just used, however long this thread is not scheduled.
+fn mark_used_now(connection: &ClientConnection) {
+    connection.state().last_used = connection.clock.now() + Span::from_millis(60_000);
+}
+
+#[test]
+fn recently_answered_connection_is_not_closed_until_settled() {
+    let (connection, _, mut client) = connection();
+    let (clients, _inbox) = front_of(&connection);
     connection.add_pending_response().unwrap();
     connection.enqueue(None, b"answer;".to_vec(), ResponseMemory::default());
     mark_used_now(&connection);
@@ -240,21 +247,8 @@
 
 #[test]
 fn accepted_connection_disables_nagle() {
-    let (events, _inbox) = crossbeam_channel::bounded(8);
-    let limits = ClientLimits {
-        memory: memory_budget(),
-        response_bytes: 1024,
-        reports_rejections: false,
-    };
     let (connection, _, _client) = connection();
-    let clients = Clients::new(
-        Arc::new(EmptyProtocol),
-        events,
-        connection.clock,
-        Arc::clone(&connection.limiter),
-        limits,
-    )
-    .unwrap();
+    let (clients, _inbox) = front_of(&connection);
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let _other = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     clients
@@ -684,22 +678,8 @@
 #[test]
 fn request_crossing_closing_error_at_exit_does_not_reset_connection() {
     const MAX_WAIT: Duration = Duration::from_secs(10);
-    let (events, _inbox) = crossbeam_channel::bounded(8);
-    let limits = ClientLimits {
-        memory: memory_budget(),
-        response_bytes: 1024,
-        reports_rejections: false,
-    };
     let (connection, _, mut client) = connection();
-    let clients = Clients::new(
-        Arc::new(EmptyProtocol),
-        events,
-        connection.clock,
-        Arc::clone(&connection.limiter),
-        limits,
-    )
-    .unwrap();
-    lock(&clients.registry.connections).insert(ClientId(1), Arc::clone(&connection));
+    let (clients, _inbox) = front_of(&connection);
     connection.state().last_used = connection.clock.now() - ANSWER_SETTLE_TIME;
     assert!(!clients.can_exit(), "the connection was just closed");
     let closed_at = std::time::Instant::now();
--- a/crates/stream-multiplexing/src/cancellation.rs
+++ b/crates/stream-multiplexing/src/cancellation.rs
@@ -7,12 +7,13 @@
 //!
 //! A cancelled job keeps its connection while that carries other jobs, because closing it would
 //! leave their outcome unknown. Once no other job is on the connection, it is closed, which ends the
-//! cancelled ones; if the endpoint has just answered the last other job, they have a short grace. If the endpoint is silent, a heartbeat closes the connection earlier.
+//! cancelled ones; if the endpoint has just answered the last other job, they have a short grace. If
+//! the endpoint is silent, a heartbeat closes the connection earlier.
 
 use valehatch_policy::Time;
 
 use crate::actions::{JobId, MultiplexedConnectionId, MultiplexerAction};
-use crate::connection::{StreamUse, WriteState};
+use crate::connection::StreamUse;
 use crate::multiplexer::{JobState, StreamMultiplexer, not_sent};
 
 impl StreamMultiplexer {
@@ -49,17 +50,9 @@
         let Some(carrier) = self.connections.get_mut(&connection) else {
             return;
         };
-        let Some(StreamUse::Job {
-            sent, cancelled, ..
-        }) = carrier.streams.get_mut(&stream)
-        else {
+        let Some(sent) = carrier.cancel_job(stream) else {
             return;
         };
-        let sent = *sent;
-        if std::mem::replace(cancelled, true) {
-            return;
-        }
-        carrier.cancelled += 1;
         self.close_if_only_cancelled(now, connection, out);
         self.check_silence(now, connection, sent, out);
     }
@@ -89,14 +82,9 @@
         let Some(carrier) = self.connections.get_mut(&connection) else {
             return;
         };
-        let Some(StreamUse::Job {
-            sent, cancelled, ..
-        }) = carrier.streams.insert(stream, StreamUse::Orphan)
-        else {
+        let Some(sent) = carrier.orphan_job(stream) else {
             return;
         };
-        carrier.cancelled -= usize::from(cancelled);
-        carrier.orphans += 1;
         if carrier.orphans > self.settings.max_orphans {
             self.close(now, connection, out);
             return;
@@ -113,18 +101,11 @@
         stream: i16,
         out: &mut Vec<MultiplexerAction>,
     ) -> bool {
-        let Some(carrier) = self.connections.get_mut(&connection) else {
-            return false;
-        };
-        let is_queued = matches!(
-            carrier.streams.get(&stream),
-            Some(StreamUse::Job {
-                write: WriteState::Queued,
-                ..
-            })
-        );
+        let is_queued = self
+            .connections
+            .get_mut(&connection)
+            .is_some_and(|carrier| carrier.remove_queued_job(stream));
         if is_queued {
-            carrier.streams.remove(&stream);
             out.push(MultiplexerAction::Unqueue { connection, stream });
             self.close_if_only_cancelled(now, connection, out);
         }
--- a/crates/stream-multiplexing/src/connection.rs
+++ b/crates/stream-multiplexing/src/connection.rs
@@ -107,4 +107,47 @@
         }
         None
     }
+
+    /// Marks a job as cancelled. Returns when it was sent, or `None` if there is no such job or it is
+    /// cancelled already.
+    pub(crate) fn cancel_job(&mut self, stream: i16) -> Option<Time> {
+        let Some(StreamUse::Job {
+            sent, cancelled, ..
+        }) = self.streams.get_mut(&stream)
+        else {
+            return None;
+        };
+        let is_first = !std::mem::replace(cancelled, true);
+        self.cancelled += usize::from(is_first);
+        is_first.then_some(*sent)
+    }
+
+    /// Turns a job's stream id into an orphan. Returns when the job was sent.
+    pub(crate) fn orphan_job(&mut self, stream: i16) -> Option<Time> {
+        let Some(StreamUse::Job {
+            sent, cancelled, ..
+        }) = self.streams.get(&stream).copied()
+        else {
+            return None;
+        };
+        self.streams.insert(stream, StreamUse::Orphan);
+        self.orphans += 1;
+        self.cancelled -= usize::from(cancelled);
+        Some(sent)
+    }
+
+    /// Removes a job unless its bytes have begun to be written. Returns whether it was removed.
+    pub(crate) fn remove_queued_job(&mut self, stream: i16) -> bool {
+        let is_queued = matches!(
+            self.streams.get(&stream),
+            Some(StreamUse::Job {
+                write: WriteState::Queued,
+                ..
+            })
+        );
+        if is_queued {
+            self.streams.remove(&stream);
+        }
+        is_queued
+    }
 }
