--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -248,8 +248,9 @@
 
     /// Whether the program may exit. Callers poll this method. Each response that was pending at the
     /// first call is completed first, however long its client and its endpoint take, within the
-    /// timeouts for those that stand still. Then, for up to 220 ms (70 ms from the first call if the
-    /// responses took less than 50 ms), every request is answered or rejected, and every client has time to read its response.
+    /// timeouts for those that stand still. Then every request is answered or rejected, and every
+    /// client has time to read its response, for up to 220 ms, or for 70 ms from the first call if
+    /// the responses took less than 50 ms.
     pub fn can_exit(&self) -> bool {
         let connections = self.registry.all();
         for connection in &connections {
