--- a/crates/gateway/tests/stop_while_streaming.rs
+++ b/crates/gateway/tests/stop_while_streaming.rs
@@ -22,6 +22,8 @@
 const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
 /// How long a client that receives nothing keeps a response open.
 const CLIENT_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a database that sends nothing keeps a streamed value open.
+const DATABASE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time within which a process ends that owes nothing any more.
 const EXIT_TIME: Duration = Duration::from_secs(2);
 
@@ -203,9 +205,31 @@
     let _open = (!disconnects).then_some(client);
     assert!(gateway.program.wait_for_exit().success());
     let ended_after = signalled_at.elapsed();
+    println!("ended after {ended_after:?}");
     assert!(ended_after < ends_after + EXIT_TIME, "{ended_after:?}");
 }
 
+/// The other bound: a database that sends nothing more ends the value, and with it the wait.
+#[test]
+fn planned_stop_database_sends_no_more_of_value_process_ends() {
+    let begun = row(&streamed_value())[..LONGEST_BUFFERED].to_vec();
+    let (address, _) = database(move || Reply::SendThenStall(begun.clone()));
+    let mut gateway = gateway(address);
+    let mut client = Client::connect(gateway.address);
+    client.send(&read_query(1, 4_000));
+    client.0.read_exact(&mut [0; 1024]).unwrap();
+    let stalled_at = Instant::now();
+    gateway.program.terminate();
+    let latest = DATABASE_STALL_TIMEOUT + EXIT_TIME;
+    wait_until_within(latest, "the gateway exits", || {
+        gateway.program.0.try_wait().unwrap().is_some()
+    });
+    let ended_after = stalled_at.elapsed();
+    println!("ended after {ended_after:?}");
+    assert!(ended_after > EARLIEST_KILL, "{ended_after:?}");
+    assert!(gateway.program.wait_for_exit().success());
+}
+
 /// A client that never stops to ask is answered, but does not keep the process from ending.
 #[test]
 fn planned_stop_client_sends_without_end_behind_value_process_ends() {
@@ -230,6 +254,7 @@
     while client.answer() != Answer::Ended {}
     assert!(gateway.program.wait_for_exit().success());
     let ended_after = completed_at.elapsed();
+    println!("ended after {ended_after:?}");
     assert!(ended_after < EXIT_TIME, "{ended_after:?}");
     sending.join().unwrap();
 }
