Find a client's close behind the end of its session

Seen: a message that cannot be parsed ends a session, which still owes the answers to the requests before it. What the client sends behind that message stays unread, and its close with it: the waiting requests of a client that has left are begun.

Cause: `Clients::finish` waits for the responses without reading. A half-close went unnoticed on both fronts (seen on: attempts up to 1.5 s later over Cassandra's protocol).

Change: on the same check of the evidence of presence an ended session's input is discarded, for a turn at a time, up to its end.

--- a/crates/gateway/tests/cassandra_leave.rs
+++ b/crates/gateway/tests/cassandra_leave.rs
@@ -181,6 +181,28 @@
     assert!(late.is_empty(), "begun after the client had left: {late:?}");
 }
 
+// Guards against a close that is not noticed, since it stands behind input that the gateway leaves unread:
+// a frame before it has ended the session, which still owes responses.
+#[rstest]
+fn client_leaves_behind_input_of_ended_session_no_request_is_begun(
+    #[values(Disconnect::Close, Disconnect::HalfClose)] how: Disconnect,
+) {
+    const UNSUPPORTED_VERSION: u8 = 0x09;
+    let front = start_front(192);
+    let client = Client::connect(front.address);
+    let mut requests: Vec<u8> = (0..60)
+        .flat_map(|n| frame(n, statement("SELECT", n, 100)))
+        .collect();
+    requests.extend(vec![UNSUPPORTED_VERSION; SENT_BYTES]);
+    send_until_full(&client.0, &requests);
+    wait_until("a node has a request", || front.received() > 0);
+    let left = Instant::now();
+    let _half_open = leave(client, how);
+    thread::sleep(WATCHED);
+    let late = front.late_begins(left);
+    assert!(late.is_empty(), "begun after the client had left: {late:?}");
+}
+
 // As above, with more unread bytes than the gateway has memory for.
 #[test]
 fn client_closes_behind_more_bytes_than_memory_holds_none_is_begun() {
--- a/crates/gateway/tests/leave.rs
+++ b/crates/gateway/tests/leave.rs
@@ -394,6 +394,15 @@
     }
 }
 
+/// What stands before the unread bytes behind which a client leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Before {
+    /// As many writes as the gateway handles at a time.
+    Writes,
+    /// A few writes and a message that ends the session once they are answered.
+    EndOfSession,
+}
+
 /// Guards against a close that is not noticed, since it stands behind bytes that the gateway does not
 /// read: the client's waiting writes are sent once there is an endpoint for them.
 #[rstest]
@@ -402,6 +411,7 @@
 fn client_leaves_behind_unread_bytes_its_waiting_writes_are_not_sent(
     #[case] how: Disconnect,
     #[case] sent_bytes: usize,
+    #[values(Before::Writes, Before::EndOfSession)] before: Before,
 ) {
     // The only endpoint closes each connection without a greeting, which proves that nothing ran.
     let closing = spawn_server(drop);
@@ -413,7 +423,13 @@
     wait_until("the gateway watches discovery", || {
         gateway.discovery.watches.load(Ordering::SeqCst) > 0
     });
-    let client = Client::connect(gateway.address);
+    let mut client = Client::connect(gateway.address);
+    if before == Before::EndOfSession {
+        const UNKNOWN_MESSAGE: u8 = b'!';
+        let writes = pipelined_writes(1..20, 4_000);
+        let end = message(UNKNOWN_MESSAGE, b"");
+        client.0.write_all(&[writes, end].concat()).unwrap();
+    }
     send_writes_until_full(&client, sent_bytes);
     let closed = Instant::now();
     let _half = client.disconnect(how);
--- a/crates/net/src/clients/connection/presence.rs
+++ b/crates/net/src/clients/connection/presence.rs
@@ -88,20 +88,23 @@
     }
 
     /// Has something written to the client, whose input cannot be read ahead, unless it is known to be
-    /// connected. Returns whether that is the rejection of the next request.
-    pub(in crate::clients) fn confirm_presence_without_reading(self: &Arc<Self>) -> bool {
+    /// connected: a probe, or the rejection of the next request.
+    pub(in crate::clients) fn confirm_presence_without_reading(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut state = self.state();
         if self.is_presence_known(&state, now) {
-            return false;
+            return;
         }
         let probe = self.handler.liveness_probe();
         state.rejects_request = probe.is_empty();
         drop(state);
-        if probe.is_empty() {
-            return true;
+        if !probe.is_empty() {
+            self.send_probe(probe);
         }
-        self.send_probe(probe);
-        false
+    }
+
+    /// Whether the next request is to be rejected, so that something is written to the client.
+    pub(in crate::clients) fn rejects_request(&self) -> bool {
+        self.state().rejects_request
     }
 }
--- a/crates/net/src/clients/message_reader.rs
+++ b/crates/net/src/clients/message_reader.rs
@@ -86,15 +86,14 @@
     }
 }
 
-/// What reading ahead has come to, on a connection whose next message may not be handled.
-enum ReadAheadEnd {
-    /// The connection waits for a written response.
+/// What reading ahead has come to, on a connection that waits for a written response.
+pub(super) enum ReadAheadEnd {
+    /// The connection still waits.
     Waits,
-    /// The next message is to be handled nevertheless: the client has disconnected, or the message is
-    /// to be rejected.
-    HandlesNext,
     /// The turn is over.
     TurnOver,
+    /// The client has disconnected.
+    Disconnected,
 }
 
 /// Reads the messages of a client; never blocks.
@@ -172,8 +171,11 @@
         if is_stalled || self.put_back.is_some() {
             match self.read_ahead_if_needed()? {
                 ReadAheadEnd::TurnOver => return Ok(self.end_turn()),
+                // The next message is to be rejected, in place of a probe.
+                ReadAheadEnd::Waits if self.connection.rejects_request() => {}
                 ReadAheadEnd::Waits if is_stalled => return Ok(NextMessage::Stalled),
-                ReadAheadEnd::Waits | ReadAheadEnd::HandlesNext => {}
+                ReadAheadEnd::Waits => {}
+                ReadAheadEnd::Disconnected => self.connection.state().set_disconnected(),
             }
         }
         if let Some(message) = self.put_back.take() {
@@ -193,27 +195,51 @@
                     self.turn.bytes = self.turn.bytes.saturating_sub(count);
                 }
                 ReadAheadOutcome::CaughtUp => {
-                    self.caught_up = true;
-                    self.connection.confirm_presence_by_read();
+                    self.catch_up();
                     return Ok(ReadAheadEnd::Waits);
                 }
-                ReadAheadOutcome::Closed => {
-                    self.connection.state().set_disconnected();
-                    return Ok(ReadAheadEnd::HandlesNext);
-                }
+                ReadAheadOutcome::Closed => return Ok(ReadAheadEnd::Disconnected),
                 ReadAheadOutcome::OutOfMemory => {
-                    let rejects_next = self.connection.confirm_presence_without_reading();
-                    return Ok(if rejects_next {
-                        ReadAheadEnd::HandlesNext
-                    } else {
-                        ReadAheadEnd::Waits
-                    });
+                    self.connection.confirm_presence_without_reading();
+                    return Ok(ReadAheadEnd::Waits);
                 }
             }
         }
         Ok(ReadAheadEnd::TurnOver)
     }
 
+    /// Discards the input behind the end of a session, if it is not known whether the client, which is
+    /// still owed responses, is connected.
+    pub(super) fn discard_ahead(&mut self) -> ReadAheadEnd {
+        self.caught_up = false;
+        if !self.connection.reads_ahead() {
+            return ReadAheadEnd::Waits;
+        }
+        self.put_back = None;
+        self.take_received();
+        self.read_ahead.clear();
+        let mut buffer = [0; MAX_READ_BYTES];
+        while !self.turn.is_over() {
+            match self.connection.receive(&mut buffer) {
+                Ok(Received::Bytes(count)) => {
+                    self.turn.bytes = self.turn.bytes.saturating_sub(count);
+                }
+                Ok(Received::Pending) => {
+                    self.catch_up();
+                    return ReadAheadEnd::Waits;
+                }
+                Ok(Received::Closed) | Err(_) => return ReadAheadEnd::Disconnected,
+            }
+        }
+        ReadAheadEnd::TurnOver
+    }
+
+    /// Records that all input that has arrived was read: its end would have been among it.
+    fn catch_up(&mut self) {
+        self.caught_up = true;
+        self.connection.confirm_presence_by_read();
+    }
+
     /// Whether all input that has arrived was read, although the next message cannot be handled.
     pub(super) const fn has_caught_up(&self) -> bool {
         self.caught_up
--- a/crates/net/src/clients/waiting.rs
+++ b/crates/net/src/clients/waiting.rs
@@ -26,7 +26,7 @@
     CLOSING_ERROR_RETRY_AFTER, ClientConnection, EVIDENCE_TIMEOUT, LATEST_ATTEMPT_AFTER_CLOSE,
     ReceiveStatus,
 };
-use super::message_reader::RequestReader;
+use super::message_reader::{ReadAheadEnd, RequestReader};
 use super::session::Session;
 use super::{Clients, NextInput, SessionProgress, SessionStatus};
 use crate::{lock, spawn};
@@ -230,10 +230,10 @@
 
     /// Handles the input of a connection for one turn.
     fn serve(&self, mut connection: WaitingConnection) {
+        connection.reader.begin_turn();
         if connection.has_ended {
             return self.finish(connection, vec![]);
         }
-        connection.reader.begin_turn();
         let status = self.registry.handler.serve(
             &mut connection.progress,
             &mut connection.reader,
@@ -262,7 +262,14 @@
         }
         waiting.has_ended = true;
         if can_write && connection.closing_since().is_none() && connection.is_open() {
-            return self.wait(waiting, Waiting::Response);
+            return match waiting.reader.discard_ahead() {
+                ReadAheadEnd::Waits if waiting.reader.has_caught_up() => {
+                    self.wait(waiting, Waiting::ResponseOrInput);
+                }
+                ReadAheadEnd::Waits => self.wait(waiting, Waiting::Response),
+                ReadAheadEnd::TurnOver => self.wait(waiting, Waiting::Turn),
+                ReadAheadEnd::Disconnected => self.remove(&waiting),
+            };
         }
         match waiting.reader.discard_received() {
             NextInput::Pending => self.wait(waiting, Waiting::Input),
