Let requests' time run from when the input was last read to its end

Seen by callers: a client that keeps more requests in flight on a connection than are handled at a time (64 over Cassandra's protocol, 256 over PostgreSQL's) is served for as long as its first requests may take, and refused from then on, for good: 200 light requests in flight, 2 s each, 20 ms of work: 4,075 served, 208,415 refused in 6 s.

Cause: `input_delayed_since` is set by the first stall and forgotten only when all input is read. On such a connection that never happens, so each later request counts as received at the first stall, and has no time left.

Change: a stalled connection is read ahead with each check, for the evidence of presence or not, as far as there is memory. At the end of its input everything further arrives later (ArrivalTracker); if at most 32 KiB came since the time before, its client was not kept from sending either. The time of requests behind that position runs from there. Slow readers are not read ahead.

Open: a client with more bytes in flight than may be read ahead, or more than 32 KiB between two checks, keeps the time of its first stall.

--- a/crates/gateway/tests/cassandra_leave.rs
+++ b/crates/gateway/tests/cassandra_leave.rs
@@ -265,3 +265,55 @@
     sender.join().unwrap();
     assert!(refused.is_empty(), "{} refused: {refused:?}", refused.len());
 }
+
+// A request's time must not run from an earlier stall of a connection that is never read to its end.
+#[test]
+fn client_keeps_more_requests_in_flight_than_are_handled_none_runs_out_of_time() {
+    const IN_FLIGHT: i16 = 200;
+    const DEADLINE: Duration = Duration::from_millis(2_000);
+    let (address, _) = stub_node(|_, _| {
+        thread::sleep(Duration::from_millis(20));
+        Reply::Send(RESULT, 1_u32.to_be_bytes().to_vec())
+    });
+    let listen = free_address();
+    let path = temp_folder().join("gateway.toml");
+    let member = Member {
+        address,
+        state: "active",
+    };
+    let contract = Contract {
+        name: "report",
+        statements: "SELECT",
+        need: "any",
+        effect: "safe",
+        deadline_ms: DEADLINE.as_millis().try_into().unwrap(),
+    };
+    let config =
+        front_config(listen, &[member], &[contract]).replace("aim-ms = 600", "aim-ms = 2000");
+    std::fs::write(&path, config).unwrap();
+    let _program = GatewayProcess::start(&["serve", path.to_str().unwrap()], None, listen);
+    let mut client = Client::connect(listen);
+    for n in 0..IN_FLIGHT {
+        client.send(n, statement("SELECT", n, 50));
+    }
+    let began = Instant::now();
+    let (mut served, mut refused) = (0, vec![]);
+    let mut sent = [Instant::now(); IN_FLIGHT as usize];
+    while began.elapsed() < 3 * DEADLINE {
+        let answer = client.answer();
+        let n = usize::try_from(answer.stream).unwrap();
+        if answer.op == RESULT {
+            served += 1;
+        } else {
+            refused.push((began.elapsed(), sent[n].elapsed(), answer.error()));
+        }
+        sent[n] = Instant::now();
+        client.send(answer.stream, statement("SELECT", answer.stream, 50));
+    }
+    assert!(
+        refused.is_empty(),
+        "{served} served, {} refused: {:?}",
+        refused.len(),
+        refused.first()
+    );
+}
--- a/crates/gateway/tests/pipeline.rs
+++ b/crates/gateway/tests/pipeline.rs
@@ -77,3 +77,50 @@
         );
     }
 }
+
+// Guards against requests whose time runs from an earlier stall of a connection that is never read to its
+// end, and against one that runs from when a request was read.
+#[test]
+fn more_requests_are_in_flight_than_are_handled_each_has_its_own_time() {
+    const IN_FLIGHT: u32 = 400;
+    const DEADLINE_MS: u32 = 2_000;
+    const PLAYED: Duration = Duration::from_millis(3 * DEADLINE_MS as u64);
+    let (db_address, db) = stub_database("read-only", |_, q| {
+        std::thread::sleep(Duration::from_millis(10));
+        Reply::Send(echo(q))
+    });
+    let members: Vec<_> = (1..=8)
+        .map(|n| target(&format!("s-{n:08x}"), db_address, "read-only", "active"))
+        .collect();
+    let gateway = start_gateway(&members.join(","), 15_000);
+    let mut client = Client::connect(gateway.address);
+    let mut sent = vec![];
+    let mut send_next = |client: &mut Client| {
+        sent.push(Instant::now());
+        let id = u32::try_from(sent.len()).unwrap();
+        client.send(&read(id, DEADLINE_MS));
+    };
+    (0..IN_FLIGHT).for_each(|_| send_next(&mut client));
+    let began = Instant::now();
+    let (mut served, mut refused) = (0, 0);
+    while began.elapsed() < PLAYED {
+        match client.answer() {
+            Answer::Value(_) => served += 1,
+            answer => {
+                assert!(is_retryable_refusal(&answer), "{answer:?}");
+                refused += 1;
+            }
+        }
+        send_next(&mut client);
+    }
+    assert_eq!(refused, 0, "{served} served");
+    for (when, passed, _) in &*db.queries.lock().unwrap() {
+        let id = usize::try_from(query_id(passed)).unwrap();
+        let allowed = Duration::from_millis(DEADLINE_MS.into());
+        let left = allowed.saturating_sub(*when - sent[id - 1]);
+        assert!(
+            stated_deadline(passed) <= left + DEADLINE_TOLERANCE,
+            "{passed}: {left:?} left"
+        );
+    }
+}
--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -9,6 +9,7 @@
 //! connection object per client, kept in the registry and bounded in number by the connection
 //! limiter.
 
+mod arrival;
 mod blocked_writers;
 mod connection;
 mod exit_wait;
--- a/crates/net/src/clients/connection.rs
+++ b/crates/net/src/clients/connection.rs
@@ -298,6 +298,14 @@
         self.state().input_delayed_since.get_or_insert(now);
     }
 
+    /// Records that the input that is handled next, and what comes behind it, arrived after `time`. Has
+    /// no effect if the reader has caught up, or a later time is known.
+    pub(super) fn set_input_delayed_since(&self, time: Time) {
+        if let Some(delayed_since) = &mut self.state().input_delayed_since {
+            *delayed_since = time.max(*delayed_since);
+        }
+    }
+
     /// Records that all input that had arrived is read.
     pub(super) fn end_input_delay(&self) {
         self.state().input_delayed_since = None;
--- a/crates/net/src/clients/connection/presence.rs
+++ b/crates/net/src/clients/connection/presence.rs
@@ -11,9 +11,10 @@
 //! | something was written, and no reset has come since | the kernel of a closed client resets |
 //! | a write waits for the client to read | a client that closes with unread bytes resets |
 //!
-//! While a connection is stalled, and the last evidence is older than [`EVIDENCE_TIMEOUT`], its input is
-//! read ahead. If there is no memory for that, a message is written to the client: a liveness probe, or,
-//! if the protocol has none, the rejection of the request that has waited longest.
+//! While a connection is stalled, and its input was last read to the end more than [`EVIDENCE_TIMEOUT`] ago,
+//! it is read ahead, which also says when the requests behind have arrived. If there is no memory for
+//! that, nor other evidence, a message is written to the client: a liveness probe, or, if the protocol
+//! has none, the rejection of the request that has waited longest.
 //!
 //! A half-close counts as a close once it is reached. Behind more bytes than there is memory for it is
 //! not reached, and its client, which still reads, is served meanwhile.
@@ -32,38 +33,45 @@
 /// When the client was last known to be connected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::clients) struct PresenceEvidence {
-    confirmed_at: Time,
+    input_read_at: Time,
+    written_at: Time,
 }
 
 impl PresenceEvidence {
     pub(in crate::clients) const fn new(now: Time) -> Self {
-        Self { confirmed_at: now }
+        Self {
+            input_read_at: now,
+            written_at: now,
+        }
     }
 
-    const fn confirm(&mut self, now: Time) {
-        self.confirmed_at = now;
+    /// Whether the input was read to its end a short time ago.
+    fn is_input_read(self, now: Time) -> bool {
+        now <= self.input_read_at + EVIDENCE_TIMEOUT
     }
 
     fn is_recent(self, now: Time) -> bool {
-        now <= self.confirmed_at + EVIDENCE_TIMEOUT
+        self.is_input_read(now) || now <= self.written_at + EVIDENCE_TIMEOUT
     }
 }
 
 impl ConnectionState {
     /// Records that responses or a probe were written completely.
     pub(in crate::clients) fn confirm_presence_by_write(&mut self, now: Time) {
-        self.presence_evidence.confirm(now);
-        self.reads_ahead = false;
+        self.presence_evidence.written_at = now;
         self.rejects_request = false;
     }
 }
 
 impl ClientConnection {
-    /// Has the input of a stalled connection read ahead if there is no recent evidence that its client
-    /// is connected.
+    /// Has the input of a stalled connection read ahead, unless it was read to its end a short time ago
+    /// or its client is slow to read.
     pub(in crate::clients) fn check_presence_if_stalled(&self, now: Time) {
         let mut state = self.state();
-        if !state.waits_for_written_response || self.is_presence_known(&state, now) {
+        if !state.waits_for_written_response
+            || state.presence_evidence.is_input_read(now)
+            || self.write_queue.is_writing()
+        {
             return;
         }
         state.waits_for_written_response = false;
@@ -81,17 +89,19 @@
         self.state().reads_ahead
     }
 
-    /// Records that all input that has arrived was read.
-    pub(in crate::clients) fn confirm_presence_by_read(&self) {
+    /// Records that all input that has arrived was read; returns when.
+    pub(in crate::clients) fn confirm_presence_by_read(&self) -> Time {
         let now = self.clock.now();
-        self.state().presence_evidence.confirm(now);
+        self.state().presence_evidence.input_read_at = now;
+        now
     }
 
-    /// Has something written to the client, whose input cannot be read ahead, unless it is known to be
-    /// connected: a probe, or the rejection of the next request.
+    /// Ends reading ahead, for which there is no memory. Has something written to the client unless it is
+    /// known to be connected: a probe, or the rejection of the next request.
     pub(in crate::clients) fn confirm_presence_without_reading(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut state = self.state();
+        state.reads_ahead = false;
         if self.is_presence_known(&state, now) {
             return;
         }
--- a/crates/net/src/clients/connection/tests.rs
+++ b/crates/net/src/clients/connection/tests.rs
@@ -343,6 +343,12 @@
     (connection, reader, client, woken)
 }
 
+/// All memory for what is read ahead.
+fn read_ahead_memory(connection: &ClientConnection) -> Vec<Reservation> {
+    let memory = &connection.memory;
+    std::iter::from_fn(|| memory.try_reserve(MemoryUse::ReadAhead, 1024)).collect()
+}
+
 /// The next message in further turns, once it is not the end of one.
 fn next_message_in_any_turn(reader: &mut RequestReader) -> NextMessage<()> {
     loop {
@@ -382,24 +388,33 @@
 }
 
 #[test]
-fn response_was_just_written_input_is_not_read_ahead() {
+fn input_was_just_read_to_its_end_it_is_not_read_ahead_again() {
     let (connection, _reader, _client, woken) = stalled_connection(b"ask");
-    let written = connection.clock.now() + Span::from_millis(60_000);
-    connection.state().confirm_presence_by_write(written);
-    connection.check_presence_if_stalled(written + EVIDENCE_TIMEOUT);
+    let read = connection.confirm_presence_by_read();
+    connection.check_presence_if_stalled(read + EVIDENCE_TIMEOUT);
     assert!(woken.try_recv().is_err(), "the evidence is recent");
-    connection.check_presence_if_stalled(written + EVIDENCE_TIMEOUT * 2);
+    connection.check_presence_if_stalled(read + EVIDENCE_TIMEOUT * 2);
     assert_eq!(woken.try_recv(), Ok(connection.id));
 }
 
+#[test]
+fn read_ahead_is_out_of_memory_response_was_just_written_nothing_is_sent() {
+    let (connection, mut reader, client, _woken) = stalled_connection(b"ask");
+    let _used = read_ahead_memory(&connection);
+    connection.state().reads_ahead = true;
+    let written = connection.clock.now() + Span::from_millis(60_000);
+    connection.state().confirm_presence_by_write(written);
+    let next = next_message_in_any_turn(&mut reader);
+    assert!(matches!(next, NextMessage::Stalled), "{next:?}");
+    client.set_nonblocking(true).unwrap();
+    let received = client.peek(&mut [0]);
+    assert!(received.is_err(), "the client got {received:?} bytes");
+}
+
 #[test]
 fn read_ahead_is_out_of_memory_probe_is_sent() {
     let (connection, mut reader, mut client, _woken) = stalled_connection(b"ask");
-    let _used: Vec<_> = std::iter::from_fn(|| {
-        let memory = &connection.memory;
-        memory.try_reserve(MemoryUse::ReadAhead, 1024)
-    })
-    .collect();
+    let _used = read_ahead_memory(&connection);
     sleep(Duration::from_micros(EVIDENCE_TIMEOUT.0.unsigned_abs() * 2));
     connection.check_presence_if_stalled(connection.clock.now());
     let next = next_message_in_any_turn(&mut reader);
--- a/crates/net/src/clients/message_reader.rs
+++ b/crates/net/src/clients/message_reader.rs
@@ -11,8 +11,10 @@
 use std::sync::Arc;
 
 use valehatch_memory_budget::{MemoryUse, Reservation};
+use valehatch_policy::Time;
 
 use super::NextInput;
+use super::arrival::ArrivalTracker;
 use super::connection::{ClientConnection, LINGER_BYTES, ReceiveStatus, Received, RequestInput};
 use super::read_ahead::{ReadAhead, ReadAheadOutcome};
 
@@ -106,6 +108,7 @@
     memory: Reservation,
     /// Bytes behind `received` that were read before they could be handled.
     read_ahead: ReadAhead,
+    arrival: ArrivalTracker,
     /// Set if all input that has arrived was read ahead.
     caught_up: bool,
     /// A message that could not be handled yet; it is returned again.
@@ -126,6 +129,7 @@
             consumed: 0,
             memory,
             read_ahead: ReadAhead::default(),
+            arrival: ArrivalTracker::default(),
             caught_up: false,
             put_back: None,
             skipped: 0,
@@ -193,9 +197,12 @@
             match self.read_ahead.receive(&self.connection)? {
                 ReadAheadOutcome::Bytes(count) => {
                     self.turn.bytes = self.turn.bytes.saturating_sub(count);
+                    self.arrival.on_read(count);
                 }
                 ReadAheadOutcome::CaughtUp => {
-                    self.catch_up();
+                    let now = self.catch_up();
+                    let unhandled = self.unhandled().len() + self.read_ahead.len();
+                    self.arrival.on_caught_up(now, unhandled);
                     return Ok(ReadAheadEnd::Waits);
                 }
                 ReadAheadOutcome::Closed => return Ok(ReadAheadEnd::Disconnected),
@@ -235,9 +242,9 @@
     }
 
     /// Records that all input that has arrived was read: its end would have been among it.
-    fn catch_up(&mut self) {
+    fn catch_up(&mut self) -> Time {
         self.caught_up = true;
-        self.connection.confirm_presence_by_read();
+        self.connection.confirm_presence_by_read()
     }
 
     /// Whether all input that has arrived was read, although the next message cannot be handled.
@@ -274,7 +281,7 @@
             }
             self.discard_consumed();
             let Some(step) = self.reserve_step(missing) else {
-                let received = self.take_received();
+                let received = self.take_unhandled();
                 return Ok(NextMessage::OutOfMemory { received });
             };
             match self.receive(step, missing)? {
@@ -313,7 +320,7 @@
     fn receive(&mut self, step: usize, missing: usize) -> io::Result<Received> {
         let mut buffer = [0; MAX_READ_BYTES];
         let outcome = match self.read_ahead.take(&mut buffer[..step]) {
-            0 => self.connection.receive(&mut buffer[..step]),
+            0 => self.receive_from_socket(&mut buffer[..step]),
             count => Ok(Received::Bytes(count)),
         };
         if let Ok(Received::Bytes(count)) = outcome {
@@ -329,6 +336,21 @@
         outcome
     }
 
+    fn receive_from_socket(&mut self, into: &mut [u8]) -> io::Result<Received> {
+        let outcome = self.connection.receive(into);
+        if let Ok(Received::Bytes(count)) = outcome {
+            self.arrival.on_read(count);
+        }
+        outcome
+    }
+
+    /// Records that bytes of messages are handled.
+    fn on_handled(&mut self, bytes: usize) {
+        if let Some(arrived_after) = self.arrival.on_handled(bytes) {
+            self.connection.set_input_delayed_since(arrived_after);
+        }
+    }
+
     /// Received bytes that belong to no returned message.
     fn unhandled(&self) -> &[u8] {
         &self.received[self.consumed..]
@@ -346,6 +368,7 @@
     /// Takes the next message, of `length` bytes, from the received bytes.
     fn take_message(&mut self, length: usize) -> Message {
         self.turn.messages = self.turn.messages.saturating_sub(1);
+        self.on_handled(length);
         let budget = Arc::clone(&self.connection.memory);
         if self.consumed == 0 && length == self.received.len() {
             let empty = budget.reserve(MemoryUse::PartialRequests, 0);
@@ -362,6 +385,13 @@
         }
     }
 
+    /// Takes the beginning of a message for whose rest there is no memory.
+    fn take_unhandled(&mut self) -> Vec<u8> {
+        let received = self.take_received();
+        self.on_handled(received.len());
+        received
+    }
+
     /// Empties the buffer and frees its memory.
     fn take_received(&mut self) -> Vec<u8> {
         self.consumed = 0;
@@ -385,6 +415,7 @@
         let count = self.skipped.min(self.unhandled().len());
         self.consumed += count;
         self.skipped -= count;
+        self.on_handled(count);
     }
 
     /// Reports that the message that was returned last has been handled. Part of the next one may
