--- a/crates/net/src/clients.rs
+++ b/crates/net/src/clients.rs
@@ -9,13 +9,11 @@
 //! connection object per client, kept in the registry and bounded in number by the connection
 //! limiter.
 
-mod arrival;
 mod blocked_writers;
 mod connection;
 mod exit_wait;
 mod listener;
 mod message_reader;
-mod read_ahead;
 mod registry;
 mod response_body;
 mod session;
--- a/crates/net/src/clients/message_reader.rs
+++ b/crates/net/src/clients/message_reader.rs
@@ -6,17 +6,23 @@
 //! While the next message cannot be handled, what follows may be read ahead, to reach the client's
 //! close. State: the received bytes that belong to no returned message yet, and what is left of a turn.
 
+mod arrival;
+mod read_ahead;
+mod stalled;
+
+pub(super) use stalled::ReadAheadEnd;
+
 use std::fmt;
 use std::io::{self, Write};
 use std::sync::Arc;
 
 use valehatch_memory_budget::{MemoryUse, Reservation};
-use valehatch_policy::Time;
 
 use super::NextInput;
-use super::arrival::ArrivalTracker;
 use super::connection::{ClientConnection, LINGER_BYTES, ReceiveStatus, Received, RequestInput};
-use super::read_ahead::{ReadAhead, ReadAheadOutcome};
+
+use arrival::ArrivalTracker;
+use read_ahead::ReadAhead;
 
 /// Bytes that are read at once while the length of a message is unknown.
 const READ_BYTES: usize = 4 * 1024;
@@ -88,16 +94,6 @@
     }
 }
 
-/// What reading ahead has come to, on a connection that waits for a written response.
-pub(super) enum ReadAheadEnd {
-    /// The connection still waits.
-    Waits,
-    /// The turn is over.
-    TurnOver,
-    /// The client has disconnected.
-    Disconnected,
-}
-
 /// Reads the messages of a client; never blocks.
 pub struct RequestReader {
     connection: Arc<ClientConnection>,
@@ -188,70 +184,6 @@
         self.gather(framing)
     }
 
-    /// Reads what cannot be handled yet, if it is not known whether the client is connected.
-    fn read_ahead_if_needed(&mut self) -> io::Result<ReadAheadEnd> {
-        if !self.connection.reads_ahead() {
-            return Ok(ReadAheadEnd::Waits);
-        }
-        while !self.turn.is_over() {
-            match self.read_ahead.receive(&self.connection)? {
-                ReadAheadOutcome::Bytes(count) => {
-                    self.turn.bytes = self.turn.bytes.saturating_sub(count);
-                    self.arrival.on_read(count);
-                }
-                ReadAheadOutcome::CaughtUp => {
-                    let now = self.catch_up();
-                    let unhandled = self.unhandled().len() + self.read_ahead.len();
-                    self.arrival.on_caught_up(now, unhandled);
-                    return Ok(ReadAheadEnd::Waits);
-                }
-                ReadAheadOutcome::Closed => return Ok(ReadAheadEnd::Disconnected),
-                ReadAheadOutcome::OutOfMemory => {
-                    self.connection.confirm_presence_without_reading();
-                    return Ok(ReadAheadEnd::Waits);
-                }
-            }
-        }
-        Ok(ReadAheadEnd::TurnOver)
-    }
-
-    /// Discards the input behind the end of a session, if it is not known whether the client, which is
-    /// still owed responses, is connected.
-    pub(super) fn discard_ahead(&mut self) -> ReadAheadEnd {
-        self.caught_up = false;
-        if !self.connection.reads_ahead() {
-            return ReadAheadEnd::Waits;
-        }
-        self.put_back = None;
-        self.take_received();
-        self.read_ahead.clear();
-        let mut buffer = [0; MAX_READ_BYTES];
-        while !self.turn.is_over() {
-            match self.connection.receive(&mut buffer) {
-                Ok(Received::Bytes(count)) => {
-                    self.turn.bytes = self.turn.bytes.saturating_sub(count);
-                }
-                Ok(Received::Pending) => {
-                    self.catch_up();
-                    return ReadAheadEnd::Waits;
-                }
-                Ok(Received::Closed) | Err(_) => return ReadAheadEnd::Disconnected,
-            }
-        }
-        ReadAheadEnd::TurnOver
-    }
-
-    /// Records that all input that has arrived was read: its end would have been among it.
-    fn catch_up(&mut self) -> Time {
-        self.caught_up = true;
-        self.connection.confirm_presence_by_read()
-    }
-
-    /// Whether all input that has arrived was read, although the next message cannot be handled.
-    pub(super) const fn has_caught_up(&self) -> bool {
-        self.caught_up
-    }
-
     /// Ends a turn. What is left of the input may have arrived by now, and its requests' time runs from
     /// then.
     fn end_turn<E>(&self) -> NextMessage<E> {
--- a/crates/net/src/clients/read_ahead.rs
+++ b/crates/net/src/clients/message_reader/read_ahead.rs
@@ -9,7 +9,7 @@
 
 use valehatch_memory_budget::{MemoryUse, Reservation};
 
-use super::connection::{ClientConnection, Received};
+use super::super::connection::{ClientConnection, Received};
 
 /// Size of a chunk in bytes.
 const CHUNK_BYTES: usize = 4 * 1024;
